--- /dev/null
+++ b/cmd/fireflymoor/main.go
@@ -0,0 +1,149 @@
+// Command fireflymoor runs the processes of the system, and is the operators'
+// command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/loader"
+	"github.com/fireflymoor/fireflymoor/internal/runner"
+	"github.com/fireflymoor/fireflymoor/pkg/administrator"
+)
+
+// The exit statuses.
+const (
+	exitFailure  = 1
+	exitInvalid  = 3
+	exitConflict = 4
+	exitUnknown  = 5
+	exitLate     = 6
+)
+
+var errLate = errors.New("the deadline passed before the version was in force everywhere")
+
+type commands struct {
+	Control  controlCommand  `cmd:"" help:"Run a control replica."`
+	Node     nodeCommand     `cmd:"" help:"Run a node."`
+	Check    checkCommand    `cmd:"" help:"Check settings without starting anything."`
+	Accept   acceptCommand   `cmd:"" help:"Accept a team's template and values."`
+	Render   renderCommand   `cmd:"" help:"Render without accepting, with a diff to what is in force."`
+	Template templateCommand `cmd:"" help:"Print a team's accepted template."`
+	Values   valuesCommand   `cmd:"" help:"Print a team's accepted values."`
+	Teams    teamsCommand    `cmd:"" help:"List the teams."`
+	Status   statusCommand   `cmd:"" help:"Show versions, and who holds what."`
+	Wait     waitCommand     `cmd:"" help:"Wait until a version is in force everywhere."`
+	History  historyCommand  `cmd:"" help:"List the latest changes."`
+	Targets  targetsCommand  `cmd:"" help:"List the targets by state."`
+	Drain    drainCommand    `cmd:"" help:"Give a node's targets no new work."`
+	Replica  replicaCommand  `cmd:"" help:"Care for the control replicas."`
+}
+
+type controlCommand struct {
+	Settings string `arg:"" help:"File of settings."`
+}
+
+// Run runs the command.
+func (c *controlCommand) Run(ctx context.Context) error {
+	return run(ctx, c.Settings, loader.RoleControl)
+}
+
+type nodeCommand struct {
+	Settings string `arg:"" help:"File of settings."`
+}
+
+// Run runs the command.
+func (c *nodeCommand) Run(ctx context.Context) error {
+	return run(ctx, c.Settings, loader.RoleNode)
+}
+
+func run(ctx context.Context, path, role string) error {
+	settings, err := loader.Load(path)
+	if err != nil {
+		return err
+	}
+	if settings.Role != role {
+		return errors.Newf("settings: the role is %s, and the command is %s", settings.Role, role)
+	}
+	process, err := newProcess(settings)
+	if err != nil {
+		return err
+	}
+	return process.Run(ctx)
+}
+
+func newProcess(settings loader.Settings) (fireflymoor.Process, error) {
+	if settings.Role == loader.RoleControl {
+		return runner.NewControl(settings, os.Stdout)
+	}
+	return runner.NewNode(settings, os.Stdout)
+}
+
+type checkCommand struct {
+	Settings []string `arg:"" help:"Files of settings."`
+}
+
+// Run runs the command.
+func (c *checkCommand) Run() error {
+	var failed error
+	for _, path := range c.Settings {
+		settings, err := loader.Load(path)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			failed = err
+			continue
+		}
+		fmt.Printf("%s: %s %s in %s is well set\n", path, settings.Role, settings.Name, settings.Zone)
+	}
+	if failed != nil {
+		return &administrator.Error{
+			Code:   administrator.CodeInvalid,
+			State:  administrator.NotTaken,
+			Step:   "check",
+			Reason: "some settings are faulty",
+		}
+	}
+	return nil
+}
+
+func exitStatus(err error) int {
+	apiErr := &administrator.Error{}
+	var faults fireflymoor.Faults
+	switch {
+	case errors.Is(err, errLate):
+		return exitLate
+	case errors.As(err, &faults):
+		return exitInvalid
+	case !errors.As(err, &apiErr):
+		return exitFailure
+	case apiErr.State == administrator.Unknown:
+		return exitUnknown
+	case apiErr.Code == administrator.CodeConflict:
+		return exitConflict
+	case apiErr.Code == administrator.CodeInvalid:
+		return exitInvalid
+	}
+	return exitFailure
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	parsed := kong.Parse(&commands{},
+		kong.Name("fireflymoor"),
+		kong.Description("Distributes the configuration of a service mesh, and carries its calls."),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.UsageOnError(),
+	)
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitStatus(err))
+	}
+}
--- /dev/null
+++ b/internal/applier/applier.go
@@ -0,0 +1,105 @@
+// Package applier decides when a proxy puts a stored version in force: whole
+// or not at all, and never an older one than it has held.
+package applier
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/asserter"
+)
+
+var (
+	errNoFloor  = errors.New("no quorum has yet confirmed how new a version must be")
+	errMismatch = errors.New("the rendered form differs from the accepted one")
+)
+
+// An Applier holds the configuration in force at one proxy. Its methods are
+// called from one goroutine.
+type Applier struct {
+	team      string
+	renderer  fireflymoor.Renderer
+	asserter  asserter.Asserter
+	floor     uint64
+	confirmed bool
+	refusal   error
+	entry     fireflymoor.TeamEntry
+	current   fireflymoor.Configuration
+}
+
+// New returns a new Applier for a proxy of team.
+func New(team string, renderer fireflymoor.Renderer, asserter asserter.Asserter) *Applier {
+	return &Applier{
+		team:     team,
+		renderer: renderer,
+		asserter: asserter,
+	}
+}
+
+// Confirm sets the least version that may be put in force: one that a quorum
+// confirmed after this process started, or one from its own disk.
+func (a *Applier) Confirm(number uint64) {
+	a.floor = max(a.floor, number)
+	a.confirmed = true
+}
+
+// Confirmed says whether the least version is known.
+func (a *Applier) Confirmed() bool {
+	return a.confirmed
+}
+
+// Held returns the number of the version in force.
+func (a *Applier) Held() uint64 {
+	return a.current.Number()
+}
+
+// Current returns the configuration in force.
+func (a *Applier) Current() fireflymoor.Configuration {
+	return a.current
+}
+
+// Refusal returns why the last version was not put in force, or nil.
+func (a *Applier) Refusal() error {
+	return a.refusal
+}
+
+// Apply puts a version in force and reports true, or keeps the one before.
+// Inputs are those of the proxy's team in the version.
+func (a *Applier) Apply(manifest fireflymoor.Manifest, inputs fireflymoor.Inputs) bool {
+	if manifest.Number() <= a.Held() {
+		return false
+	}
+	if !a.confirmed || manifest.Number() < a.floor {
+		a.refusal = errNoFloor
+		return false
+	}
+	next, entry, err := a.make(manifest, inputs)
+	a.refusal = err
+	if err != nil {
+		return false
+	}
+	a.asserter.Check(next.Closed(), "routes-closed", a.team)
+	a.asserter.Check(next.Number() > a.Held(), "never-older", a.team)
+	a.current = next
+	a.entry = entry
+	return true
+}
+
+func (a *Applier) make(manifest fireflymoor.Manifest, inputs fireflymoor.Inputs) (fireflymoor.Configuration, fireflymoor.TeamEntry, error) {
+	entry, ok := manifest.Team(a.team)
+	if !ok {
+		empty := fireflymoor.NewConfiguration(a.team, nil, nil, fireflymoor.Limits{})
+		return empty.WithNumber(manifest.Number()), entry, nil
+	}
+	if entry.Rendered == a.entry.Rendered {
+		return a.current.WithNumber(manifest.Number()), entry, nil
+	}
+	rendered, err := a.renderer.Render(a.team, inputs)
+	if err != nil {
+		return fireflymoor.Configuration{}, entry, errors.Wrapf(err, "applier: render version %d", manifest.Number())
+	}
+	if fireflymoor.HashOf(rendered.Text) != entry.Rendered {
+		return fireflymoor.Configuration{}, entry, errors.Wrapf(errMismatch, "applier: version %d", manifest.Number())
+	}
+	return rendered.Configuration.WithNumber(manifest.Number()), entry, nil
+}
--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,278 @@
+// Package caller takes calls from callers and has them answered by targets
+// that can serve them.
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/ejector"
+	"github.com/fireflymoor/fireflymoor/internal/labeler"
+	"github.com/fireflymoor/fireflymoor/internal/receiver"
+	"github.com/fireflymoor/fireflymoor/internal/retrier"
+	"github.com/fireflymoor/fireflymoor/internal/tracker"
+)
+
+var (
+	errNoTarget   = errors.New("no target can serve the call")
+	errBodySpent  = errors.New("the body has been sent and is not kept")
+	errOverBudget = errors.New("the budget for retries is spent")
+)
+
+// Options are what a Handler needs.
+type Options struct {
+	// Node is the name of this node.
+	Node string
+	// Viewer hands out what to route by.
+	Viewer fireflymoor.Viewer
+	// Balancer picks targets.
+	Balancer fireflymoor.Balancer
+	// Forwarder carries calls.
+	Forwarder fireflymoor.Forwarder
+	// Tracker knows the targets' load.
+	Tracker *tracker.Tracker
+	// Ejector knows the targets' failures.
+	Ejector *ejector.Ejector
+	// Budget bounds retries.
+	Budget *retrier.Budget
+	// Metrics counts calls.
+	Metrics *Metrics
+	// Log has the part's prefix.
+	Log zerolog.Logger
+	// Decisions says whether each routing decision is logged.
+	Decisions bool
+}
+
+// A Handler is the HTTP handler for callers.
+type Handler struct {
+	options Options
+}
+
+// New returns a new Handler.
+func New(options Options) *Handler {
+	return &Handler{
+		options: options,
+	}
+}
+
+// call is one caller's call on its way.
+type call struct {
+	id      string
+	route   fireflymoor.Route
+	service fireflymoor.Service
+	view    fireflymoor.View
+	request *http.Request
+	body    *body
+	began   time.Time
+	tried   []string
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	began := time.Now()
+	id := uuid.NewString()
+	w.Header().Set(labeler.CallID, id)
+	view := h.options.Viewer.View()
+	route, status, reason := match(view, request)
+	if reason != "" {
+		h.refuse(w, id, status, fireflymoor.NotRun, reason)
+		return
+	}
+	left, ok := labeler.TimeLeft(request.Header, route.Timeout)
+	if !ok {
+		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, "the deadline is no whole number of milliseconds")
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), left)
+	defer cancel()
+	service, _ := view.Configuration().Service(route.Service)
+	kept := newBody(request.Body, request.ContentLength, route.MaxBody)
+	c := &call{
+		id:      id,
+		route:   route,
+		service: service,
+		view:    view,
+		request: inner(request, id, route),
+		body:    kept,
+		began:   began,
+	}
+	h.options.Budget.Call(began)
+	h.serve(ctx, w, c)
+}
+
+func match(view fireflymoor.View, request *http.Request) (fireflymoor.Route, int, string) {
+	configuration := view.Configuration()
+	if configuration.Number() == 0 {
+		return fireflymoor.Route{}, http.StatusServiceUnavailable, "no configuration is in force"
+	}
+	route, ok := configuration.Match(request.Host, request.URL.Path)
+	if !ok {
+		return fireflymoor.Route{}, http.StatusNotFound, "no route matches"
+	}
+	if request.ContentLength > route.MaxBody {
+		return fireflymoor.Route{}, http.StatusRequestEntityTooLarge, "the body is too large"
+	}
+	return route, 0, ""
+}
+
+// inner returns the request as it goes to targets.
+func inner(request *http.Request, id string, route fireflymoor.Route) *http.Request {
+	copied := *request
+	copied.Header = request.Header.Clone()
+	labeler.CleanRequest(copied.Header)
+	copied.Header.Set(labeler.CallID, id)
+	if !route.MayRepeat(request.Method) {
+		copied.Header.Set(labeler.Once, "yes")
+	}
+	return &copied
+}
+
+// serve tries targets until one answers, or no further try is allowed.
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, c *call) {
+	ran := false
+	for try := 0; ; try++ {
+		response, outcome, err := h.try(ctx, c)
+		ran = ran || outcome == fireflymoor.Unknown
+		if outcome == fireflymoor.Answered {
+			h.answer(w, c, response)
+			return
+		}
+		if h.mayRetry(ctx, c, try, outcome, err) {
+			continue
+		}
+		if ran {
+			outcome = fireflymoor.Unknown
+		}
+		status := failureStatus(ctx, c, outcome)
+		h.refuse(w, c.id, status, outcome, err.Error())
+		return
+	}
+}
+
+func failureStatus(ctx context.Context, c *call, outcome fireflymoor.Outcome) int {
+	switch {
+	case c.body.overflowed():
+		return http.StatusRequestEntityTooLarge
+	case outcome == fireflymoor.NotRun:
+		return http.StatusServiceUnavailable
+	case ctx.Err() != nil:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// mayRetry decides on one more try. A call that was not run may be tried
+// elsewhere whatever its method; one that may have run only if it may repeat.
+func (h *Handler) mayRetry(ctx context.Context, c *call, try int, outcome fireflymoor.Outcome, err error) bool {
+	repeatable := outcome == fireflymoor.NotRun || c.route.MayRepeat(c.request.Method)
+	switch {
+	case errors.Is(err, errNoTarget), try >= c.route.Retries, !repeatable, ctx.Err() != nil:
+		return false
+	case !c.body.replayable():
+		h.options.Log.Info().Str("call", c.id).Err(errBodySpent).Msg("caller: no retry")
+		return false
+	case !h.options.Budget.Spend(c.view.Configuration().Limits().RetryBudget, time.Now()):
+		h.options.Log.Info().Str("call", c.id).Err(errOverBudget).Msg("caller: no retry")
+		return false
+	}
+	return retrier.Wait(ctx, try, outcome) == nil
+}
+
+// try sends the call to one target.
+func (h *Handler) try(ctx context.Context, c *call) (*http.Response, fireflymoor.Outcome, error) {
+	now := time.Now()
+	pick, ok := h.pick(c, now)
+	if !ok {
+		return nil, fireflymoor.NotRun, errors.Wrapf(errNoTarget, "caller: service %s", c.route.Service)
+	}
+	if h.options.Decisions {
+		h.options.Log.Info().Str("call", c.id).Str("route", c.route.Name).
+			Str("target", pick.Target.ID).Str("zone", pick.Target.Zone).
+			Int("try", len(c.tried)).Str("reason", pick.Reason).Msg("caller: route")
+	}
+	c.tried = append(c.tried, pick.Target.ID)
+	end := h.options.Tracker.Begin(pick.Target, now)
+	c.request.Header.Set(labeler.TargetID, pick.Target.ID)
+	c.request.Body, c.request.ContentLength = c.body.reader()
+	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
+	if err != nil {
+		end()
+		h.failed(ctx, pick.Target, outcome, err)
+		return nil, outcome, err
+	}
+	h.options.Ejector.Succeeded(pick.Target.ID)
+	if load, known := labeler.TakeLoad(response.Header); known {
+		h.options.Tracker.SetLoad(pick.Target, load, time.Now())
+	}
+	response.Body = &endingBody{
+		ReadCloser: response.Body,
+		end:        end,
+	}
+	return response, outcome, nil
+}
+
+// failed counts a failure against a target, unless the caller itself gave up
+// or the target's node was merely busy.
+func (h *Handler) failed(ctx context.Context, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	h.options.Metrics.failed.WithLabelValues(outcome.String()).Inc()
+	if errors.IsAny(err, fireflymoor.ErrBusy) {
+		return
+	}
+	h.options.Ejector.Failed(target.ID, time.Now())
+}
+
+// pick chooses among the targets that are ready, not ejected and not tried
+// yet; if none is left, among those that are merely suspected.
+func (h *Handler) pick(c *call, now time.Time) (fireflymoor.Pick, bool) {
+	all := h.options.Viewer.View().Targets(c.route.Service)
+	share := c.view.Configuration().Limits().EjectShare
+	ready := untried(all, fireflymoor.Ready, c.view.Configuration().Team(), c.tried)
+	if len(ready) == 0 {
+		ready = untried(all, fireflymoor.Suspect, c.view.Configuration().Team(), c.tried)
+	}
+	kept := h.options.Ejector.Keep(ready, share, now)
+	candidates := make([]fireflymoor.Candidate, 0, len(kept))
+	for i := range kept {
+		candidates = append(candidates, h.options.Tracker.Candidate(kept[i], c.service.SlowStart, now))
+	}
+	return h.options.Balancer.Pick(candidates, now)
+}
+
+func (h *Handler) answer(w http.ResponseWriter, c *call, response *http.Response) {
+	defer func() {
+		_ = response.Body.Close()
+	}()
+	h.options.Metrics.observe(fireflymoor.Answered, c.began)
+	receiver.Copy(w, response, c.id)
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, id string, status int, outcome fireflymoor.Outcome, reason string) {
+	h.options.Metrics.ended.WithLabelValues(outcome.String()).Inc()
+	if h.options.Decisions {
+		h.options.Log.Info().Str("call", id).Int("status", status).
+			Stringer("outcome", outcome).Str("reason", reason).Msg("caller: refused")
+	}
+	receiver.Refuse(w, status, outcome, reason)
+}
+
+// endingBody says when an answer has been read or left.
+type endingBody struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close implements io.Closer.
+func (b *endingBody) Close() error {
+	b.end()
+	return b.ReadCloser.Close()
+}
--- /dev/null
+++ b/internal/coordinator/handler.go
@@ -0,0 +1,287 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/neighbour"
+)
+
+const (
+	// sampleOwnZone is how many members of its zone a joining process gets.
+	sampleOwnZone = 8
+	// sampleOtherZone is how many of each other zone it gets.
+	sampleOtherZone = 1
+)
+
+// Hello implements neighbour.Handler.
+func (c *Coordinator) Hello(joining bool) *messenger.Frame {
+	p := c.published.Load()
+	return &messenger.Frame{
+		Body: &messenger.Frame_Hello{
+			Hello: &messenger.Hello{
+				Self:    p.self,
+				Head:    p.head,
+				Joining: joining,
+			},
+		},
+	}
+}
+
+// Heartbeat implements neighbour.Handler.
+func (c *Coordinator) Heartbeat() *messenger.Heartbeat {
+	return c.published.Load().heartbeat
+}
+
+// Admit implements neighbour.Handler.
+func (c *Coordinator) Admit(hello *messenger.Hello) ([]*messenger.Frame, bool) {
+	c.admitLock.Lock()
+	later, ok := c.admitter.Admit(time.Now())
+	c.admitLock.Unlock()
+	if !ok {
+		return []*messenger.Frame{
+			{
+				Body: &messenger.Frame_Later{
+					Later: &messenger.Later{
+						AfterMilliseconds: uint32(later.Milliseconds()),
+					},
+				},
+			},
+		}, false
+	}
+	answer := []*messenger.Frame{c.Hello(false)}
+	if !hello.GetJoining() {
+		return answer, true
+	}
+	err := c.options.Sequencer.Do(c.ctx, func() {
+		answer = append(answer, factsFrame(&messenger.Facts{
+			Facts: c.sample(hello.GetSelf()),
+		}))
+		c.merge([]*messenger.Fact{hello.GetSelf()}, "")
+	})
+	if err != nil {
+		return nil, false
+	}
+	return answer, false
+}
+
+// sample returns a few members for a joining process to begin with.
+func (c *Coordinator) sample(joiner *messenger.Fact) []*messenger.Fact {
+	facts := []*messenger.Fact{c.announcer.Self()}
+	taken := map[string]int{}
+	all := c.announcer.Facts()
+	for _, i := range c.options.Random.Perm(len(all)) {
+		f := all[i]
+		most := sampleOtherZone
+		if f.GetZone() == joiner.GetZone() {
+			most = sampleOwnZone
+		}
+		alive := f.GetState() == messenger.MemberState_MEMBER_ALIVE
+		if alive && taken[f.GetZone()] < most && f.GetName() != joiner.GetName() {
+			taken[f.GetZone()]++
+			facts = append(facts, f)
+		}
+	}
+	if old := c.announcer.Fact(joiner.GetName()); old != nil {
+		facts = append(facts, old)
+	}
+	return facts
+}
+
+// Up implements neighbour.Handler.
+func (c *Coordinator) Up(link *neighbour.Link) {
+	c.options.Sequencer.Post(func() {
+		c.up(link)
+	})
+}
+
+func (c *Coordinator) up(link *neighbour.Link) {
+	name := link.Peer().GetName()
+	if old := c.links[name]; old != nil {
+		if !c.replaces(link, old) {
+			link.Close(neighbour.ErrReplaced)
+			return
+		}
+		old.Close(neighbour.ErrReplaced)
+	}
+	now := time.Now()
+	c.links[name] = link
+	p := c.peer(name)
+	p.failures = 0
+	p.differences = 0
+	p.unwantedAt = time.Time{}
+	c.options.Log.Debug().Str("peer", name).Bool("dialed", link.Dialed()).Msg("overlay: link up")
+	c.merge([]*messenger.Fact{link.Peer()}, name)
+	c.Apply(c.distributor.OnPeer(name, link.Head(), now))
+	if link.Dialed() {
+		c.sendDigest(link)
+	}
+}
+
+// replaces says whether a new link to a peer takes the place of an old one. A
+// peer that dials again knows that its old link is gone; of two that crossed,
+// both ends keep the one dialed by the lesser name.
+func (c *Coordinator) replaces(link, old *neighbour.Link) bool {
+	if link.Dialed() == old.Dialed() || link.Peer().GetBoot() != old.Peer().GetBoot() {
+		return true
+	}
+	lesser := c.announcer.Self().GetName() < link.Peer().GetName()
+	return link.Dialed() == lesser
+}
+
+func (c *Coordinator) sendDigest(link *neighbour.Link) {
+	link.Send(&messenger.Frame{
+		Body: &messenger.Frame_Digest{
+			Digest: &messenger.Digest{
+				Buckets: c.announcer.Digest(),
+			},
+		},
+	})
+}
+
+// Frame implements neighbour.Handler.
+func (c *Coordinator) Frame(link *neighbour.Link, frame *messenger.Frame) {
+	c.options.Sequencer.Post(func() {
+		c.frame(link, frame)
+	})
+}
+
+func (c *Coordinator) frame(link *neighbour.Link, frame *messenger.Frame) {
+	now := time.Now()
+	name := link.Peer().GetName()
+	switch body := frame.GetBody().(type) {
+	case *messenger.Frame_Heartbeat:
+		c.onHeartbeat(link, body.Heartbeat, now)
+	case *messenger.Frame_Facts:
+		c.merge(body.Facts.GetFacts(), name)
+	case *messenger.Frame_Digest:
+		c.onDigest(link, body.Digest)
+	case *messenger.Frame_FactKeys:
+		c.onFactKeys(link, body.FactKeys)
+	case *messenger.Frame_Head:
+		c.Apply(c.distributor.OnHead(name, body.Head, now))
+	case *messenger.Frame_ManifestRequest:
+		c.Apply(c.distributor.OnManifestRequest(name))
+	case *messenger.Frame_Manifest:
+		c.Apply(c.distributor.OnManifest(name, body.Manifest, now))
+	case *messenger.Frame_Pull:
+		c.Apply(c.distributor.OnPull(name, body.Pull))
+	case *messenger.Frame_Pieces:
+		c.Apply(c.distributor.OnPieces(name, body.Pieces, now))
+	}
+}
+
+func (c *Coordinator) onHeartbeat(link *neighbour.Link, heartbeat *messenger.Heartbeat, now time.Time) {
+	name := link.Peer().GetName()
+	if c.links[name] != link {
+		return
+	}
+	c.Apply(c.distributor.OnHeartbeat(name, heartbeat.GetNumber(), now))
+	p := c.peer(name)
+	if heartbeat.GetDigest() == c.published.Load().heartbeat.GetDigest() {
+		p.differences = 0
+		return
+	}
+	p.differences++
+	if p.differences >= digestPatience && link.Dialed() {
+		p.differences = 0
+		c.sendDigest(link)
+	}
+}
+
+func (c *Coordinator) onDigest(link *neighbour.Link, digest *messenger.Digest) {
+	buckets := c.announcer.Differing(digest.GetBuckets())
+	if len(buckets) == 0 {
+		return
+	}
+	link.Send(c.keysFrame(buckets, false))
+}
+
+func (c *Coordinator) keysFrame(buckets []uint32, answer bool) *messenger.Frame {
+	return &messenger.Frame{
+		Body: &messenger.Frame_FactKeys{
+			FactKeys: &messenger.FactKeys{
+				Buckets: buckets,
+				Keys:    c.announcer.Keys(buckets),
+				Answer:  answer,
+			},
+		},
+	}
+}
+
+// onFactKeys sends what the peer lacks, and once asks for what it has more.
+func (c *Coordinator) onFactKeys(link *neighbour.Link, keys *messenger.FactKeys) {
+	facts := c.announcer.Newer(keys.GetBuckets(), keys.GetKeys())
+	if len(facts) > 0 {
+		link.Send(factsFrame(&messenger.Facts{
+			Facts: facts,
+		}))
+	}
+	if !keys.GetAnswer() {
+		link.Send(c.keysFrame(keys.GetBuckets(), true))
+	}
+}
+
+// merge takes facts that came over a link and floods those that are new.
+func (c *Coordinator) merge(facts []*messenger.Fact, from string) {
+	now := time.Now()
+	changed := false
+	for _, fact := range facts {
+		if fact.GetName() == "" {
+			continue
+		}
+		news := c.announcer.Merge(fact, now)
+		if news == nil {
+			continue
+		}
+		changed = true
+		if news.GetName() == c.announcer.Self().GetName() {
+			c.flood(news, "")
+			continue
+		}
+		c.logMember(news)
+		c.flood(news, from)
+	}
+	if changed {
+		c.options.Watcher.MembersChanged()
+	}
+}
+
+func (c *Coordinator) logMember(fact *messenger.Fact) {
+	c.options.Log.Info().
+		Str("member", fact.GetName()).
+		Str("zone", fact.GetZone()).
+		Str("state", fact.GetState().String()).
+		Uint64("boot", fact.GetBoot()).
+		Uint64("sequence", fact.GetSequence()).
+		Int("targets", len(fact.GetTargets())).
+		Msg("overlay: member changed")
+}
+
+// Down implements neighbour.Handler.
+func (c *Coordinator) Down(link *neighbour.Link, err error) {
+	c.options.Sequencer.Post(func() {
+		c.down(link, err)
+	})
+}
+
+func (c *Coordinator) down(link *neighbour.Link, err error) {
+	name := link.Peer().GetName()
+	if c.links[name] != link {
+		return
+	}
+	delete(c.links, name)
+	now := time.Now()
+	c.options.Log.Info().Str("peer", name).Err(err).Msg("overlay: link down")
+	c.Apply(c.distributor.OnPeerDown(name, now))
+	if errors.Is(err, neighbour.ErrUnwanted) || errors.Is(err, neighbour.ErrReplaced) {
+		return
+	}
+	if errors.Is(err, neighbour.ErrSilent) && !c.stalled(now) {
+		c.suspect(link.Peer(), now)
+		return
+	}
+	c.dial(link.Peer())
+}
--- /dev/null
+++ b/internal/distributor/distributor.go
@@ -0,0 +1,418 @@
+// Package distributor decides how accepted versions spread over the overlay.
+// Heads are flooded; what a process lacks it pulls from the neighbour that
+// told it. It is a pure step function.
+package distributor
+
+import (
+	"time"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/asserter"
+	"github.com/fireflymoor/fireflymoor/internal/compressor"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+)
+
+// pullTimeout is how long an asked neighbour may take to answer.
+const pullTimeout = 300 * time.Millisecond
+
+// A Send is one frame for one neighbour.
+type Send struct {
+	// Peer is the neighbour's name.
+	Peer string
+	// Frame is the message.
+	Frame *messenger.Frame
+}
+
+// Effects is what a step asks its caller to do.
+type Effects struct {
+	// Sends are to be sent.
+	Sends []Send
+	// Stored says that a newer version is now held whole.
+	Stored bool
+}
+
+// A Distributor holds the newest whole version and fetches newer ones. Its
+// methods are called from one goroutine.
+type Distributor struct {
+	asserter asserter.Asserter
+	manifest fireflymoor.Manifest
+	pieces   map[fireflymoor.Hash]string
+	previous map[fireflymoor.Hash]string
+	packed   map[packKey][]byte
+
+	heads   map[string]*messenger.Head
+	wanted  *fireflymoor.Manifest
+	asked   string
+	askedAt time.Time
+	effects Effects
+}
+
+type packKey struct {
+	hash fireflymoor.Hash
+	base fireflymoor.Hash
+}
+
+// New returns a new Distributor that holds the empty version.
+func New(asserter asserter.Asserter) *Distributor {
+	return &Distributor{
+		asserter: asserter,
+		pieces:   map[fireflymoor.Hash]string{},
+		packed:   map[packKey][]byte{},
+		heads:    map[string]*messenger.Head{},
+	}
+}
+
+// Manifest returns the newest version that is held whole.
+func (d *Distributor) Manifest() fireflymoor.Manifest {
+	return d.manifest
+}
+
+// Inputs returns a team's inputs in the version that is held.
+func (d *Distributor) Inputs(team string) (fireflymoor.Inputs, bool) {
+	entry, ok := d.manifest.Team(team)
+	if !ok {
+		return fireflymoor.Inputs{}, false
+	}
+	return fireflymoor.Inputs{
+		Template: d.pieces[entry.Template],
+		Values:   d.pieces[entry.Values],
+	}, true
+}
+
+// Pieces returns the content of all pieces of the version that is held.
+func (d *Distributor) Pieces() []string {
+	pieces := make([]string, 0, len(d.pieces))
+	for _, content := range d.pieces {
+		pieces = append(pieces, content)
+	}
+	return pieces
+}
+
+// Adopt takes a whole version from the log or the disk.
+func (d *Distributor) Adopt(manifest fireflymoor.Manifest, pieces []string) Effects {
+	if manifest.Number() <= d.manifest.Number() {
+		return Effects{}
+	}
+	known := map[fireflymoor.Hash]string{}
+	for _, content := range pieces {
+		known[fireflymoor.HashOf(content)] = content
+	}
+	d.store(manifest, known)
+	return d.take()
+}
+
+// OnPeer takes the head of a neighbour whose link has just come up, and tells
+// it this one's.
+func (d *Distributor) OnPeer(peer string, head *messenger.Head, now time.Time) Effects {
+	if d.manifest.Number() > head.GetNumber() {
+		d.send(peer, headFrame(messenger.HeadOf(d.manifest)))
+	}
+	return d.OnHead(peer, head, now)
+}
+
+// OnPeerDown forgets a neighbour whose link is down.
+func (d *Distributor) OnPeerDown(peer string, now time.Time) Effects {
+	delete(d.heads, peer)
+	if d.asked == peer {
+		d.asked = ""
+		d.chase(now)
+	}
+	return d.take()
+}
+
+// OnHead takes a neighbour's head.
+func (d *Distributor) OnHead(peer string, head *messenger.Head, now time.Time) Effects {
+	if head.GetNumber() > d.heads[peer].GetNumber() || d.heads[peer] == nil {
+		d.heads[peer] = head
+	}
+	if head.GetNumber() == d.manifest.Number() && len(head.GetHash()) > 0 && head.GetNumber() > 0 {
+		own := d.manifest.Hash()
+		same := string(own[:]) == string(head.GetHash())
+		d.asserter.Check(same, "one-content-per-version", peer)
+	}
+	if d.asked == "" {
+		d.chase(now)
+	}
+	return d.take()
+}
+
+// OnHeartbeat takes the version number in a neighbour's heartbeat, and closes
+// the gap that a lost head has left on either side.
+func (d *Distributor) OnHeartbeat(peer string, number uint64, now time.Time) Effects {
+	if number < d.manifest.Number() {
+		d.send(peer, headFrame(messenger.HeadOf(d.manifest)))
+	}
+	if known := d.heads[peer]; known != nil && number <= known.GetNumber() {
+		return d.take()
+	}
+	return d.OnHead(peer, &messenger.Head{Number: number}, now)
+}
+
+// Tick lets time pass: a neighbour that was asked and did not answer is
+// passed over for another.
+func (d *Distributor) Tick(now time.Time) Effects {
+	if d.asked != "" && now.Sub(d.askedAt) >= pullTimeout {
+		delete(d.heads, d.asked)
+		d.asked = ""
+		d.chase(now)
+	}
+	return d.take()
+}
+
+// chase asks the neighbour with the newest head for what is lacking.
+func (d *Distributor) chase(now time.Time) {
+	peer, head := d.newest()
+	d.wanted = nil
+	if head == nil {
+		return
+	}
+	if next, ok := d.follow(head); ok {
+		d.want(peer, next, now)
+		return
+	}
+	d.ask(peer, now, &messenger.Frame{
+		Body: &messenger.Frame_ManifestRequest{
+			ManifestRequest: &messenger.ManifestRequest{},
+		},
+	})
+}
+
+// newest returns the neighbour with the newest head, if newer than what is
+// held.
+func (d *Distributor) newest() (string, *messenger.Head) {
+	peer := ""
+	var best *messenger.Head
+	for name, head := range d.heads {
+		newer := head.GetNumber() > d.manifest.Number() && head.GetNumber() > best.GetNumber()
+		tie := best != nil && head.GetNumber() == best.GetNumber() && name < peer
+		if newer || tie {
+			peer = name
+			best = head
+		}
+	}
+	return peer, best
+}
+
+// follow makes the next version from a head alone, if it is the very next.
+func (d *Distributor) follow(head *messenger.Head) (fireflymoor.Manifest, bool) {
+	if head.GetNumber() != d.manifest.Number()+1 {
+		return fireflymoor.Manifest{}, false
+	}
+	entry, err := messenger.ToEntry(head.GetChanged())
+	if err != nil {
+		return fireflymoor.Manifest{}, false
+	}
+	next := d.manifest.With(entry)
+	hash := next.Hash()
+	return next, string(hash[:]) == string(head.GetHash())
+}
+
+// want fetches the pieces of a version that are lacking, or stores it.
+func (d *Distributor) want(peer string, manifest fireflymoor.Manifest, now time.Time) {
+	d.wanted = &manifest
+	pull := &messenger.Pull{}
+	for _, e := range manifest.Teams() {
+		old, _ := d.manifest.Team(e.Team)
+		pull.Pieces = d.request(pull.GetPieces(), e.Template, old.Template)
+		pull.Pieces = d.request(pull.GetPieces(), e.Values, old.Values)
+	}
+	if len(pull.GetPieces()) == 0 {
+		d.store(manifest, nil)
+		d.chase(now)
+		return
+	}
+	d.ask(peer, now, &messenger.Frame{
+		Body: &messenger.Frame_Pull{
+			Pull: pull,
+		},
+	})
+}
+
+func (d *Distributor) request(requests []*messenger.PieceRequest, hash, base fireflymoor.Hash) []*messenger.PieceRequest {
+	if _, ok := d.pieces[hash]; ok {
+		return requests
+	}
+	request := &messenger.PieceRequest{
+		Hash: hash[:],
+	}
+	if _, ok := d.pieces[base]; ok {
+		request.Base = base[:]
+	}
+	return append(requests, request)
+}
+
+func (d *Distributor) ask(peer string, now time.Time, frame *messenger.Frame) {
+	d.asked = peer
+	d.askedAt = now
+	d.send(peer, frame)
+}
+
+// OnManifest takes the whole manifest that was asked for.
+func (d *Distributor) OnManifest(peer string, m *messenger.Manifest, now time.Time) Effects {
+	if peer != d.asked {
+		return Effects{}
+	}
+	d.asked = ""
+	manifest, err := messenger.ToManifest(m)
+	if err != nil || manifest.Number() <= d.manifest.Number() {
+		delete(d.heads, peer)
+		d.chase(now)
+		return d.take()
+	}
+	d.heads[peer] = messenger.HeadOf(manifest)
+	d.want(peer, manifest, now)
+	return d.take()
+}
+
+// OnPieces takes pieces that were asked for. The version is stored only when
+// every piece is there and has the hash that the manifest names.
+func (d *Distributor) OnPieces(peer string, answer *messenger.Pieces, now time.Time) Effects {
+	if peer != d.asked || d.wanted == nil {
+		return Effects{}
+	}
+	d.asked = ""
+	got := map[fireflymoor.Hash]string{}
+	for _, p := range answer.GetPieces() {
+		if content, hash, ok := d.unpack(p); ok {
+			got[hash] = content
+		}
+	}
+	if !d.complete(got) {
+		delete(d.heads, peer)
+		d.chase(now)
+		return d.take()
+	}
+	d.store(*d.wanted, got)
+	d.chase(now)
+	return d.take()
+}
+
+func (d *Distributor) unpack(p *messenger.Piece) (string, fireflymoor.Hash, bool) {
+	base, _ := fireflymoor.HashFrom(p.GetBase())
+	content, err := compressor.Unpack(p.GetContent(), d.pieces[base])
+	if err != nil {
+		return "", fireflymoor.Hash{}, false
+	}
+	return content, fireflymoor.HashOf(content), true
+}
+
+func (d *Distributor) complete(got map[fireflymoor.Hash]string) bool {
+	for _, hash := range d.wanted.Pieces() {
+		_, held := d.pieces[hash]
+		_, fetched := got[hash]
+		if !held && !fetched {
+			return false
+		}
+	}
+	return true
+}
+
+// store moves to a whole version and tells all neighbours that lack it. The
+// pieces of the version before stay, to pack against.
+func (d *Distributor) store(manifest fireflymoor.Manifest, got map[fireflymoor.Hash]string) {
+	d.asserter.Check(manifest.Number() > d.manifest.Number(), "version-only-grows", "distributor")
+	pieces := map[fireflymoor.Hash]string{}
+	for _, hash := range manifest.Pieces() {
+		content, ok := got[hash]
+		if !ok {
+			content = d.pieces[hash]
+		}
+		pieces[hash] = content
+	}
+	d.previous = d.pieces
+	d.pieces = pieces
+	d.manifest = manifest
+	d.wanted = nil
+	d.packed = map[packKey][]byte{}
+	d.effects.Stored = true
+	head := messenger.HeadOf(manifest)
+	for peer, known := range d.heads {
+		if known.GetNumber() < manifest.Number() {
+			d.send(peer, headFrame(head))
+		}
+	}
+}
+
+// OnManifestRequest answers with the whole manifest that is held.
+func (d *Distributor) OnManifestRequest(peer string) Effects {
+	d.send(peer, &messenger.Frame{
+		Body: &messenger.Frame_Manifest{
+			Manifest: messenger.FromManifest(d.manifest),
+		},
+	})
+	return d.take()
+}
+
+// OnPull answers with the pieces that are held.
+func (d *Distributor) OnPull(peer string, pull *messenger.Pull) Effects {
+	answer := &messenger.Pieces{}
+	for _, request := range pull.GetPieces() {
+		if p := d.pack(request); p != nil {
+			answer.Pieces = append(answer.Pieces, p)
+		}
+	}
+	d.send(peer, &messenger.Frame{
+		Body: &messenger.Frame_Pieces{
+			Pieces: answer,
+		},
+	})
+	return d.take()
+}
+
+func (d *Distributor) find(hash fireflymoor.Hash) (string, bool) {
+	if content, ok := d.pieces[hash]; ok {
+		return content, true
+	}
+	content, ok := d.previous[hash]
+	return content, ok
+}
+
+func (d *Distributor) pack(request *messenger.PieceRequest) *messenger.Piece {
+	hash, _ := fireflymoor.HashFrom(request.GetHash())
+	content, ok := d.find(hash)
+	if !ok {
+		return nil
+	}
+	base, _ := fireflymoor.HashFrom(request.GetBase())
+	baseContent, hasBase := d.find(base)
+	key := packKey{
+		hash: hash,
+	}
+	piece := &messenger.Piece{}
+	if hasBase {
+		key.base = base
+		piece.Base = base[:]
+	}
+	packed, done := d.packed[key]
+	if !done {
+		var err error
+		packed, err = compressor.Pack(content, baseContent)
+		if err != nil {
+			return nil
+		}
+		d.packed[key] = packed
+	}
+	piece.Content = packed
+	return piece
+}
+
+func (d *Distributor) send(peer string, frame *messenger.Frame) {
+	d.effects.Sends = append(d.effects.Sends, Send{
+		Peer:  peer,
+		Frame: frame,
+	})
+}
+
+func (d *Distributor) take() Effects {
+	effects := d.effects
+	d.effects = Effects{}
+	return effects
+}
+
+func headFrame(head *messenger.Head) *messenger.Frame {
+	return &messenger.Frame{
+		Body: &messenger.Frame_Head{
+			Head: head,
+		},
+	}
+}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,256 @@
+// Package forwarder carries calls to the node of the chosen target. A call
+// that is caught on a silent or broken connection is asked after, and
+// revoked, over a new one.
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/labeler"
+	"github.com/fireflymoor/fireflymoor/internal/registrar"
+	"github.com/fireflymoor/fireflymoor/internal/sender"
+)
+
+const (
+	connections = 256
+	dialTimeout = 300 * time.Millisecond
+	idleTimeout = 5 * time.Second
+	// silence is how long a call waits before the target's node is asked
+	// after it over a new connection.
+	silence = 700 * time.Millisecond
+	// askAgain is the wait after a question that was not answered.
+	askAgain = 300 * time.Millisecond
+	// askTimeout bounds the questions after a call whose connection broke.
+	askTimeout = 1500 * time.Millisecond
+)
+
+// RevokePath is where a node is asked what became of a call.
+const RevokePath = "/.fireflymoor/revoke"
+
+// The queries of RevokePath.
+const (
+	QueryID   = "id"
+	QueryBoot = "boot"
+)
+
+// errResolved ends a call that another connection has told the end of.
+var errResolved = errors.New("resolved over another connection")
+
+// A Remote carries calls to other nodes.
+type Remote struct {
+	lock       sync.Mutex
+	transports map[string]*http.Transport
+	asker      *http.Transport
+}
+
+// NewRemote returns a new Remote.
+func NewRemote() *Remote {
+	asker := sender.NewTransport(connections, dialTimeout, idleTimeout)
+	asker.DisableKeepAlives = true
+	return &Remote{
+		transports: map[string]*http.Transport{},
+		asker:      asker,
+	}
+}
+
+// transport returns the connections to one node. Each node has its own, so
+// that a node's can be dropped alone.
+func (f *Remote) transport(address string) *http.Transport {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	t := f.transports[address]
+	if t == nil {
+		t = sender.NewTransport(connections, dialTimeout, idleTimeout)
+		f.transports[address] = t
+	}
+	return t
+}
+
+// drop gives up all connections to a node, but those in use.
+func (f *Remote) drop(address string) {
+	f.lock.Lock()
+	t := f.transports[address]
+	delete(f.transports, address)
+	f.lock.Unlock()
+	if t != nil {
+		t.CloseIdleConnections()
+	}
+}
+
+// Forget drops the connections to all nodes but those given.
+func (f *Remote) Forget(keep []fireflymoor.Target) {
+	kept := map[string]bool{}
+	for i := range keep {
+		kept[keep[i].Address] = true
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for address, t := range f.transports {
+		if !kept[address] {
+			t.CloseIdleConnections()
+			delete(f.transports, address)
+		}
+	}
+}
+
+// resolution is what the target's node said of a call.
+type resolution struct {
+	state  registrar.State
+	answer *http.Response
+}
+
+// Forward implements fireflymoor.Forwarder.
+func (f *Remote) Forward(ctx context.Context, target fireflymoor.Target, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
+	sending, cancel := context.WithCancelCause(ctx)
+	out := sender.Prepare(sending, in, target.Address, in.Body, in.ContentLength)
+	resolved := make(chan resolution, 1)
+	watch := time.AfterFunc(silence, func() {
+		f.watch(ctx, target, out.Header.Get(labeler.CallID), resolved, cancel)
+	})
+	response, outcome, err := sender.Send(f.transport(target.Address), out)
+	watch.Stop()
+	if err == nil {
+		response.Body = &cancellingBody{
+			ReadCloser: response.Body,
+			cancel:     cancel,
+		}
+		return f.check(response, out.Header.Get(labeler.CallID))
+	}
+	cancelled := errors.Is(context.Cause(sending), errResolved)
+	cancel(nil)
+	if outcome == fireflymoor.NotRun && !cancelled {
+		return nil, outcome, err
+	}
+	if cancelled {
+		return conclude(<-resolved, err)
+	}
+	f.drop(target.Address)
+	if ctx.Err() != nil || out.Header.Get(labeler.Once) == "" {
+		return nil, fireflymoor.Unknown, err
+	}
+	return f.resolve(ctx, target, out.Header.Get(labeler.CallID), err)
+}
+
+// watch asks after a call that has been silent, until it is resolved.
+func (f *Remote) watch(ctx context.Context, target fireflymoor.Target, id string, resolved chan<- resolution, cancel context.CancelCauseFunc) {
+	for ctx.Err() == nil {
+		r, err := f.ask(ctx, target, id)
+		if err == nil && r.state != registrar.Running {
+			f.drop(target.Address)
+			resolved <- r
+			cancel(errResolved)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(askAgain):
+		}
+	}
+}
+
+// resolve asks after a call whose connection broke.
+func (f *Remote) resolve(ctx context.Context, target fireflymoor.Target, id string, cause error) (*http.Response, fireflymoor.Outcome, error) {
+	until := time.Now().Add(askTimeout)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		r, err := f.ask(ctx, target, id)
+		if err == nil {
+			return conclude(r, cause)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(askAgain):
+		}
+	}
+	return nil, fireflymoor.Unknown, errors.Wrap(cause, "forwarder: the target's node is not reached")
+}
+
+func conclude(r resolution, cause error) (*http.Response, fireflymoor.Outcome, error) {
+	switch r.state {
+	case registrar.Refused, registrar.NotRun:
+		return nil, fireflymoor.NotRun, errors.Wrap(cause, "forwarder: revoked")
+	case registrar.Answered:
+		if r.answer != nil {
+			return r.answer, fireflymoor.Answered, nil
+		}
+	}
+	return nil, fireflymoor.Unknown, errors.Wrapf(cause, "forwarder: the call is %s", r.state)
+}
+
+// ask asks the target's node, over a new connection, what became of a call.
+func (f *Remote) ask(ctx context.Context, target fireflymoor.Target, id string) (resolution, error) {
+	query := url.Values{}
+	query.Set(QueryID, id)
+	query.Set(QueryBoot, formatBoot(target.Boot))
+	address := "http://" + target.Address + RevokePath + "?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, http.NoBody)
+	if err != nil {
+		return resolution{}, errors.Wrapf(err, "forwarder %s: ask after a call", target.Node)
+	}
+	labeler.SetDeadline(ctx, request.Header)
+	response, err := f.asker.RoundTrip(request)
+	if err != nil {
+		return resolution{}, errors.Wrapf(err, "forwarder %s: ask after a call", target.Node)
+	}
+	defer func() {
+		_ = response.Body.Close()
+	}()
+	body, err := io.ReadAll(io.LimitReader(response.Body, registrar.MaxAnswer+1))
+	if err != nil {
+		return resolution{}, errors.Wrapf(err, "forwarder %s: read what became of a call", target.Node)
+	}
+	return readResolution(response, body), nil
+}
+
+func readResolution(response *http.Response, body []byte) resolution {
+	r := resolution{
+		state: registrar.State(response.Header.Get(StateHeader)),
+	}
+	response.Header.Del(StateHeader)
+	if r.state == registrar.Answered && response.Header.Get(KeptHeader) != "" {
+		response.Header.Del(KeptHeader)
+		response.Body = io.NopCloser(bytes.NewReader(body))
+		response.ContentLength = int64(len(body))
+		r.answer = response
+	}
+	return r
+}
+
+// check makes sure that an answer is the call's own and says what it is.
+func (f *Remote) check(response *http.Response, id string) (*http.Response, fireflymoor.Outcome, error) {
+	if response.Header.Get(labeler.CallID) != id {
+		_ = response.Body.Close()
+		return nil, fireflymoor.Unknown, errors.New("forwarder: the answer belongs to another call")
+	}
+	reason := response.Header.Get(labeler.Reason)
+	switch response.Header.Get(labeler.Outcome) {
+	case fireflymoor.Answered.String():
+		return response, fireflymoor.Answered, nil
+	case fireflymoor.NotRun.String():
+		_ = response.Body.Close()
+		return nil, fireflymoor.NotRun, errors.Wrapf(fireflymoor.ErrBusy, "forwarder: %s", reason)
+	}
+	_ = response.Body.Close()
+	return nil, fireflymoor.Unknown, errors.Newf("forwarder: outcome unknown: %s", reason)
+}
+
+// cancellingBody ends a call's context once its answer has been read or left.
+type cancellingBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close implements io.Closer.
+func (b *cancellingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel(nil)
+	return err
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,241 @@
+// Package keeper holds a control replica's durable state in one file under
+// its data folder. Every save is synced before it returns.
+package keeper
+
+import (
+	"encoding/binary"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	bolt "go.etcd.io/bbolt"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/replicator"
+)
+
+const (
+	fileName    = "replica.db"
+	fileMode    = 0o600
+	folderMode  = 0o700
+	lockTimeout = 2 * time.Second
+	numberBytes = 8
+)
+
+var (
+	metaBucket   = []byte("meta")
+	logBucket    = []byte("log")
+	diskKey      = []byte("disk-id")
+	termKey      = []byte("term")
+	voteKey      = []byte("vote")
+	snapshotKey  = []byte("snapshot")
+	allBuckets   = [][]byte{metaBucket, logBucket}
+	errEmptyDisk = errors.New("keeper: the file holds no disk id")
+)
+
+// A Keeper holds one replica's term, vote, log and snapshot.
+type Keeper interface {
+	// Disk returns the id that the disk got when it was first used.
+	Disk() string
+	// Load returns all that was saved.
+	Load() (replicator.Durable, error)
+	// Save writes and syncs. After an error the process must end.
+	Save(save replicator.Save) error
+	// Backup writes a consistent copy to a new file.
+	Backup(path string) error
+	// Close releases the file.
+	Close() error
+}
+
+type keeper struct {
+	db   *bolt.DB
+	disk string
+}
+
+// New returns a new Keeper over the data folder, which it makes if needed.
+func New(folder string) (Keeper, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, errors.Wrap(err, "keeper: make the data folder")
+	}
+	path := filepath.Join(folder, fileName)
+	db, err := bolt.Open(path, fileMode, &bolt.Options{
+		Timeout: lockTimeout,
+	})
+	if err != nil {
+		return nil, errors.Wrapf(err, "keeper: open %s", path)
+	}
+	k := &keeper{db: db}
+	if err := k.identify(); err != nil {
+		return nil, errors.CombineErrors(err, db.Close())
+	}
+	return k, nil
+}
+
+// identify gives a new file its disk id.
+func (k *keeper) identify() error {
+	err := k.db.Update(func(tx *bolt.Tx) error {
+		for _, name := range allBuckets {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return errors.Wrap(err, "make a bucket")
+			}
+		}
+		meta := tx.Bucket(metaBucket)
+		if meta.Get(diskKey) == nil {
+			return errors.Wrap(meta.Put(diskKey, []byte(uuid.NewString())), "write the disk id")
+		}
+		return nil
+	})
+	if err != nil {
+		return errors.Wrap(err, "keeper: identify the disk")
+	}
+	return k.db.View(func(tx *bolt.Tx) error {
+		k.disk = string(tx.Bucket(metaBucket).Get(diskKey))
+		if k.disk == "" {
+			return errEmptyDisk
+		}
+		return nil
+	})
+}
+
+// Disk implements Keeper.
+func (k *keeper) Disk() string {
+	return k.disk
+}
+
+// Load implements Keeper.
+func (k *keeper) Load() (replicator.Durable, error) {
+	durable := replicator.Durable{}
+	err := k.db.View(func(tx *bolt.Tx) error {
+		meta := tx.Bucket(metaBucket)
+		durable.Term = number(meta.Get(termKey))
+		durable.Vote = string(meta.Get(voteKey))
+		if data := meta.Get(snapshotKey); data != nil {
+			durable.Snapshot = &messenger.Snapshot{}
+			if err := proto.Unmarshal(data, durable.Snapshot); err != nil {
+				return errors.Wrap(err, "read the snapshot")
+			}
+		}
+		return tx.Bucket(logBucket).ForEach(func(_, data []byte) error {
+			entry := &messenger.Entry{}
+			if err := proto.Unmarshal(data, entry); err != nil {
+				return errors.Wrap(err, "read an entry")
+			}
+			durable.Entries = append(durable.Entries, entry)
+			return nil
+		})
+	})
+	if err != nil {
+		return replicator.Durable{}, errors.Wrap(err, "keeper: load")
+	}
+	return durable, checkOrder(durable)
+}
+
+func checkOrder(durable replicator.Durable) error {
+	next := durable.Snapshot.GetIndex() + 1
+	for _, e := range durable.Entries {
+		if e.GetIndex() != next {
+			return errors.Newf("keeper: load: entry %d stands where %d belongs", e.GetIndex(), next)
+		}
+		next++
+	}
+	return nil
+}
+
+// Save implements Keeper.
+func (k *keeper) Save(save replicator.Save) error {
+	err := k.db.Update(func(tx *bolt.Tx) error {
+		meta := tx.Bucket(metaBucket)
+		if err := meta.Put(termKey, key(save.Term)); err != nil {
+			return errors.Wrap(err, "write the term")
+		}
+		if err := meta.Put(voteKey, []byte(save.Vote)); err != nil {
+			return errors.Wrap(err, "write the vote")
+		}
+		if err := saveSnapshot(tx, save); err != nil {
+			return err
+		}
+		return saveEntries(tx.Bucket(logBucket), save)
+	})
+	return errors.Wrap(err, "keeper: save")
+}
+
+func saveSnapshot(tx *bolt.Tx, save replicator.Save) error {
+	if save.Snapshot == nil {
+		return nil
+	}
+	data, err := proto.Marshal(save.Snapshot)
+	if err != nil {
+		return errors.Wrap(err, "encode the snapshot")
+	}
+	if err := tx.Bucket(metaBucket).Put(snapshotKey, data); err != nil {
+		return errors.Wrap(err, "write the snapshot")
+	}
+	last := save.Snapshot.GetIndex()
+	if save.Reset {
+		last = math.MaxUint64
+	}
+	return dropEntries(tx.Bucket(logBucket), 0, last)
+}
+
+// dropEntries deletes all entries from first to last.
+func dropEntries(log *bolt.Bucket, first, last uint64) error {
+	var drop [][]byte
+	c := log.Cursor()
+	for k, _ := c.Seek(key(first)); k != nil && number(k) <= last; k, _ = c.Next() {
+		drop = append(drop, slices.Clone(k))
+	}
+	for _, k := range drop {
+		if err := log.Delete(k); err != nil {
+			return errors.Wrap(err, "drop an entry")
+		}
+	}
+	return nil
+}
+
+func saveEntries(log *bolt.Bucket, save replicator.Save) error {
+	if save.From == 0 {
+		return nil
+	}
+	if err := dropEntries(log, save.From, math.MaxUint64); err != nil {
+		return err
+	}
+	for _, e := range save.Entries {
+		data, err := proto.Marshal(e)
+		if err != nil {
+			return errors.Wrap(err, "encode an entry")
+		}
+		if err := log.Put(key(e.GetIndex()), data); err != nil {
+			return errors.Wrap(err, "write an entry")
+		}
+	}
+	return nil
+}
+
+// Backup implements Keeper.
+func (k *keeper) Backup(path string) error {
+	err := k.db.View(func(tx *bolt.Tx) error {
+		return errors.Wrap(tx.CopyFile(path, fileMode), "copy")
+	})
+	return errors.Wrapf(err, "keeper: back up to %s", path)
+}
+
+// Close implements Keeper.
+func (k *keeper) Close() error {
+	return errors.Wrap(k.db.Close(), "keeper: close")
+}
+
+func key(n uint64) []byte {
+	return binary.BigEndian.AppendUint64(nil, n)
+}
+
+func number(data []byte) uint64 {
+	if len(data) != numberBytes {
+		return 0
+	}
+	return binary.BigEndian.Uint64(data)
+}
--- /dev/null
+++ b/internal/neighbour/linker.go
@@ -0,0 +1,205 @@
+package neighbour
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/fireflymoor/fireflymoor/internal/counter"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+)
+
+const (
+	// idleTimeout is how long an accepted connection may send nothing.
+	idleTimeout = 10 * time.Second
+	// maxMessage is the largest message that is read, in bytes.
+	maxMessage = 16 << 20
+)
+
+// ManagerOptions are the drpc options of every connection between processes.
+func ManagerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		WriterBufferSize: 0,
+		Reader: drpcwire.ReaderOptions{
+			MaximumBufferSize: maxMessage,
+		},
+		Stream: drpcstream.Options{
+			SplitSize: maxMessage,
+		},
+	}
+}
+
+// A Linker opens and accepts links.
+type Linker struct {
+	handler Handler
+	count   *counter.Counter
+}
+
+// NewLinker returns a new Linker.
+func NewLinker(handler Handler, count *counter.Counter) *Linker {
+	return &Linker{
+		handler: handler,
+		count:   count,
+	}
+}
+
+// Dial opens a drpc connection whose bytes are counted.
+func Dial(ctx context.Context, address string, count *counter.Counter) (*drpcconn.Conn, error) {
+	dialer := net.Dialer{
+		Timeout: helloTimeout,
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "neighbour %s: dial", address)
+	}
+	return drpcconn.NewWithOptions(count.Wrap(conn, 0), drpcconn.Options{
+		Manager: ManagerOptions(),
+	}), nil
+}
+
+// Open opens a link and carries frames until it ends. It reports whether the
+// link came up, and why it ended.
+func (l *Linker) Open(ctx context.Context, address string) (bool, error) {
+	opened := false
+	err := l.open(ctx, address, false, &opened)
+	return opened, err
+}
+
+// Join asks a seed for a sample of members, in facts given to the handler.
+func (l *Linker) Join(ctx context.Context, address string) error {
+	return l.open(ctx, address, true, new(bool))
+}
+
+func (l *Linker) open(ctx context.Context, address string, joining bool, opened *bool) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	conn, err := Dial(ctx, address, l.count)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		_ = conn.Close()
+	}()
+	opening := time.AfterFunc(helloTimeout, func() {
+		cancel(ErrSilent)
+	})
+	defer opening.Stop()
+	s, err := messenger.NewDRPCOverlayClient(conn).Link(ctx)
+	if err != nil {
+		return errors.Wrapf(err, "neighbour %s: open a link", address)
+	}
+	if err := s.Send(l.handler.Hello(joining)); err != nil {
+		return errors.Wrapf(err, "neighbour %s: send hello", address)
+	}
+	link := newLink(cancel, true)
+	if joining {
+		opening.Reset(silenceTimeout)
+		return l.receiveSample(s, link, address)
+	}
+	if err := link.receiveHello(s); err != nil {
+		return errors.Wrapf(err, "neighbour %s: receive hello", address)
+	}
+	opening.Stop()
+	*opened = true
+	return link.run(ctx, s, l.handler, l.count)
+}
+
+// A LaterError says that a peer refuses a link for now.
+type LaterError struct {
+	// After is when to try again.
+	After time.Duration
+}
+
+// Error implements error.
+func (e *LaterError) Error() string {
+	return "the peer is busy, try again after " + e.After.String()
+}
+
+func (l *Linker) receiveSample(s stream, link *Link, address string) error {
+	if err := link.receiveHello(s); err != nil {
+		return errors.Wrapf(err, "neighbour %s: join", address)
+	}
+	frame, err := s.Recv()
+	if err != nil {
+		return errors.Wrapf(err, "neighbour %s: join", address)
+	}
+	l.handler.Frame(link, frame)
+	return nil
+}
+
+func newLink(cancel context.CancelCauseFunc, dialed bool) *Link {
+	return &Link{
+		queue:  make(chan *messenger.Frame, queueLength),
+		cancel: cancel,
+		dialed: dialed,
+	}
+}
+
+func (l *Link) receiveHello(s stream) error {
+	frame, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	if later := frame.GetLater(); later != nil {
+		return &LaterError{
+			After: time.Duration(later.GetAfterMilliseconds()) * time.Millisecond,
+		}
+	}
+	l.hello = frame.GetHello()
+	if l.hello.GetSelf().GetName() == "" {
+		return ErrNoHello
+	}
+	return nil
+}
+
+// Accept carries the frames of a link that a neighbour opened.
+func (l *Linker) Accept(ctx context.Context, s stream) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	link := newLink(cancel, false)
+	if err := link.receiveHello(s); err != nil {
+		return errors.Wrap(err, "neighbour: receive hello")
+	}
+	answer, ok := l.handler.Admit(link.hello)
+	for _, frame := range answer {
+		if err := s.Send(frame); err != nil {
+			return errors.Wrap(err, "neighbour: answer hello")
+		}
+	}
+	if !ok {
+		return nil
+	}
+	return link.run(ctx, s, l.handler, l.count)
+}
+
+// Serve accepts drpc connections until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, mux *drpcmux.Mux, count *counter.Counter) error {
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: ManagerOptions(),
+	})
+	stop := context.AfterFunc(ctx, func() {
+		_ = listener.Close()
+	})
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "neighbour: accept")
+		}
+		count.Accepted()
+		go func() {
+			_ = server.ServeOne(ctx, count.Wrap(conn, idleTimeout))
+		}()
+	}
+}
--- /dev/null
+++ b/internal/operator/handler.go
@@ -0,0 +1,191 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/kit/endpoint"
+	httptransport "github.com/go-kit/kit/transport/http"
+
+	"github.com/fireflymoor/fireflymoor/pkg/administrator"
+)
+
+const (
+	// maxRequest bounds a request's body, in bytes. A template and values
+	// of the largest size fit, escaped.
+	maxRequest = 2 << 20
+	// allTeams is the team of the token that may change everything.
+	allTeams = "*"
+)
+
+type contextKey int
+
+const (
+	tokenKey contextKey = iota
+	operatorKey
+)
+
+func operatorOf(ctx context.Context) string {
+	name, _ := ctx.Value(operatorKey).(string)
+	return name
+}
+
+// scope names the team that a request would act on; allTeams needs the token
+// for all.
+type scope func(request any) string
+
+// NewHandler returns a new http.Handler of the administration API. Tokens
+// are the bearer tokens by team.
+func NewHandler(s *Service, tokens map[string]string) http.Handler {
+	mux := http.NewServeMux()
+	handle := func(pattern string, of scope, decode httptransport.DecodeRequestFunc, e endpoint.Endpoint) {
+		mux.Handle(pattern, httptransport.NewServer(
+			authorize(tokens, of)(e),
+			decode,
+			httptransport.EncodeJSONResponse,
+			httptransport.ServerBefore(takeToken),
+			httptransport.ServerErrorEncoder(encodeError),
+		))
+	}
+	handle("POST /v1/teams/{team}/changes", teamScope, decodeChange, func(ctx context.Context, r any) (any, error) {
+		return s.change(ctx, r.(administrator.ChangeRequest))
+	})
+	handle("POST /v1/teams/{team}/render", teamScope, decodeChange, func(ctx context.Context, r any) (any, error) {
+		return s.render(ctx, r.(administrator.ChangeRequest))
+	})
+	handle("GET /v1/teams/{team}", teamScope, decodeTeam, func(ctx context.Context, r any) (any, error) {
+		return s.team(ctx, r.(administrator.ChangeRequest).Team)
+	})
+	handle("GET /v1/teams", anyScope, decodeNothing, func(ctx context.Context, _ any) (any, error) {
+		return s.teams(ctx)
+	})
+	handle("GET /v1/status", anyScope, decodeNothing, func(ctx context.Context, _ any) (any, error) {
+		return s.replica.Status(ctx)
+	})
+	handle("GET /v1/history", anyScope, decodeNothing, func(ctx context.Context, _ any) (any, error) {
+		return s.history(ctx)
+	})
+	handle("GET /v1/targets", anyScope, decodeNothing, func(ctx context.Context, _ any) (any, error) {
+		return s.targets(ctx)
+	})
+	handle("POST /v1/nodes/{node}/drain", adminScope, decodeNode, func(ctx context.Context, r any) (any, error) {
+		return struct{}{}, s.replica.Drain(ctx, r.(string))
+	})
+	handle("POST /v1/replicas/bootstrap", adminScope, decodeNothing, func(ctx context.Context, _ any) (any, error) {
+		return struct{}{}, s.replica.Bootstrap(ctx)
+	})
+	handle("POST /v1/replicas/backup", adminScope, decodeNothing, func(ctx context.Context, _ any) (any, error) {
+		path, err := s.replica.Backup(ctx)
+		return map[string]string{"path": path}, err
+	})
+	return mux
+}
+
+func teamScope(request any) string {
+	return request.(administrator.ChangeRequest).Team
+}
+
+func anyScope(any) string {
+	return ""
+}
+
+func adminScope(any) string {
+	return allTeams
+}
+
+func takeToken(ctx context.Context, r *http.Request) context.Context {
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return context.WithValue(ctx, tokenKey, token)
+}
+
+// authorize lets a request pass if its token is that of the team it acts on,
+// or that for all teams.
+func authorize(tokens map[string]string, of scope) endpoint.Middleware {
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		return func(ctx context.Context, request any) (any, error) {
+			token, _ := ctx.Value(tokenKey).(string)
+			owner := ownerOf(tokens, token)
+			if owner == "" {
+				return nil, &administrator.Error{
+					Code:   administrator.CodeUnauthorized,
+					State:  administrator.NotTaken,
+					Step:   "authorize",
+					Reason: "the bearer token is missing or unknown",
+				}
+			}
+			if team := of(request); team != "" && owner != allTeams && owner != team {
+				return nil, &administrator.Error{
+					Code:   administrator.CodeForbidden,
+					State:  administrator.NotTaken,
+					Step:   "authorize",
+					Reason: "the token of team " + owner + " does not reach this",
+				}
+			}
+			return next(context.WithValue(ctx, operatorKey, owner), request)
+		}
+	}
+}
+
+func ownerOf(tokens map[string]string, token string) string {
+	found := ""
+	for owner, known := range tokens {
+		if known != "" && subtle.ConstantTimeCompare([]byte(known), []byte(token)) == 1 {
+			found = owner
+		}
+	}
+	return found
+}
+
+func decodeChange(_ context.Context, r *http.Request) (any, error) {
+	request := administrator.ChangeRequest{}
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxRequest))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&request); err != nil {
+		return nil, invalid("decode", "the body is no such request: "+err.Error())
+	}
+	request.Team = r.PathValue("team")
+	return request, nil
+}
+
+func decodeTeam(_ context.Context, r *http.Request) (any, error) {
+	return administrator.ChangeRequest{
+		Team: r.PathValue("team"),
+	}, nil
+}
+
+func decodeNode(_ context.Context, r *http.Request) (any, error) {
+	return r.PathValue("node"), nil
+}
+
+func decodeNothing(context.Context, *http.Request) (any, error) {
+	return struct{}{}, nil
+}
+
+var statuses = map[string]int{
+	administrator.CodeInvalid:      http.StatusUnprocessableEntity,
+	administrator.CodeConflict:     http.StatusConflict,
+	administrator.CodeReused:       http.StatusConflict,
+	administrator.CodeForbidden:    http.StatusForbidden,
+	administrator.CodeUnauthorized: http.StatusUnauthorized,
+	administrator.CodeNotFound:     http.StatusNotFound,
+	administrator.CodeUnavailable:  http.StatusServiceUnavailable,
+}
+
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	apiErr := &administrator.Error{}
+	if !errors.As(err, &apiErr) {
+		apiErr = &administrator.Error{
+			Code:   administrator.CodeUnavailable,
+			State:  administrator.NotTaken,
+			Step:   "operator",
+			Reason: err.Error(),
+		}
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(statuses[apiErr.Code])
+	_ = json.NewEncoder(w).Encode(apiErr)
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,93 @@
+// Package platform answers the platform: health, readiness and metrics, and
+// the announcements of targets.
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/fireflymoor/fireflymoor/internal/target"
+	"github.com/fireflymoor/fireflymoor/pkg/parser"
+)
+
+// maxAnnouncement bounds an announcement, in bytes.
+const maxAnnouncement = 16 << 10
+
+// NewHandler returns a new http.Handler. Ready says why the process is not
+// ready, or nothing. The registry may be nil.
+func NewHandler(registry *prometheus.Registry, ready func() string, targets *target.Registry) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintln(w, "ok")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if reason := ready(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = fmt.Fprintln(w, "ok")
+	})
+	if targets != nil {
+		handleTargets(mux, targets)
+	}
+	return mux
+}
+
+func handleTargets(mux *http.ServeMux, targets *target.Registry) {
+	mux.HandleFunc("POST /v1/targets", func(w http.ResponseWriter, r *http.Request) {
+		a := target.Announcement{}
+		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&a); err != nil {
+			http.Error(w, "the body is no announcement: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		if reason := check(a); reason != "" {
+			http.Error(w, reason, http.StatusUnprocessableEntity)
+			return
+		}
+		targets.Announce(a, time.Now())
+	})
+	mux.HandleFunc("DELETE /v1/targets/{id}", func(w http.ResponseWriter, r *http.Request) {
+		if err := targets.Withdraw(r.PathValue("id")); err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+		}
+	})
+	mux.HandleFunc("POST /v1/targets/{id}/drain", func(w http.ResponseWriter, r *http.Request) {
+		idle, err := targets.Drain(r.PathValue("id"))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+			return
+		}
+		if r.URL.Query().Get("wait") == "" {
+			return
+		}
+		select {
+		case <-idle:
+		case <-r.Context().Done():
+		}
+	})
+}
+
+// check returns what is wrong with an announcement, or nothing.
+func check(a target.Announcement) string {
+	host, _, err := net.SplitHostPort(a.Address)
+	switch {
+	case !parser.ValidName(a.ID):
+		return "id is not in kebab case"
+	case !parser.ValidName(a.Service):
+		return "service is not in kebab case"
+	case err != nil || net.ParseIP(host) == nil:
+		return "address is not IP:PORT"
+	case a.Slots < 1 || a.Slots > parser.MaxSlots:
+		return fmt.Sprintf("slots is not between 1 and %d", parser.MaxSlots)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/receiver/answer.go
@@ -0,0 +1,83 @@
+package receiver
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/labeler"
+)
+
+// bufferSize is the size of the pieces that an answer is copied in, in bytes.
+const bufferSize = 32 << 10
+
+var buffers = sync.Pool{
+	New: func() any {
+		b := make([]byte, bufferSize)
+		return &b
+	},
+}
+
+// Refuse answers a call that got no answer from a target.
+func Refuse(w http.ResponseWriter, status int, outcome fireflymoor.Outcome, reason string) {
+	w.Header().Set(labeler.Outcome, outcome.String())
+	w.Header().Set(labeler.Reason, oneLine(reason))
+	http.Error(w, outcome.String()+": "+reason, status)
+}
+
+func oneLine(text string) string {
+	line := []byte(text)
+	for i, c := range line {
+		if c < ' ' || c > '~' {
+			line[i] = ' '
+		}
+	}
+	return string(line)
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
+
+// Copy passes a target's answer on. An answer that breaks off is not passed
+// on as whole: the connection is aborted.
+func Copy(w http.ResponseWriter, response *http.Response, id string) {
+	labeler.CleanHop(response.Header)
+	copyHeader(w.Header(), response.Header)
+	w.Header().Set(labeler.CallID, id)
+	w.Header().Set(labeler.Outcome, fireflymoor.Answered.String())
+	if response.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	w.WriteHeader(response.StatusCode)
+	if err := copyBody(w, response); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func copyBody(w http.ResponseWriter, response *http.Response) error {
+	buffer, _ := buffers.Get().(*[]byte)
+	defer buffers.Put(buffer)
+	stream := response.ContentLength < 0
+	for {
+		n, readErr := response.Body.Read(*buffer)
+		if n > 0 {
+			if _, err := w.Write((*buffer)[:n]); err != nil {
+				return err
+			}
+		}
+		if readErr == io.EOF {
+			return nil
+		}
+		if readErr != nil {
+			return readErr
+		}
+		if stream {
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
--- /dev/null
+++ b/internal/recorder/recorder.go
@@ -0,0 +1,160 @@
+// Package recorder applies committed changes, in the order of the log, to the
+// accepted state of the configuration.
+package recorder
+
+import (
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+)
+
+// recordsKept is how many outcomes of changes are kept to answer resends:
+// about six days at 3,200 changes a day.
+const recordsKept = 20_000
+
+// A Recorder is the state machine behind the replicated log. Every replica
+// that applies the same entries holds the same state. Its methods are called
+// from one goroutine.
+type Recorder struct {
+	manifest fireflymoor.Manifest
+	inputs   map[string]fireflymoor.Inputs
+	records  []*messenger.ChangeRecord
+	byID     map[string]*messenger.ChangeRecord
+}
+
+// New returns a new, empty Recorder.
+func New() *Recorder {
+	return &Recorder{
+		inputs: map[string]fireflymoor.Inputs{},
+		byID:   map[string]*messenger.ChangeRecord{},
+	}
+}
+
+// Digest sums up what a change asks for, so that a change id that is used
+// again for something else is found.
+func Digest(c *messenger.Change) []byte {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%q %d %q %q", c.GetTeam(), c.GetParent(), c.GetTemplate(), c.GetValues()))
+	return sum[:]
+}
+
+// Apply applies one change and returns its lasting outcome. A change id that
+// was applied before gets its first outcome again, and accepted is false.
+func (r *Recorder) Apply(c *messenger.Change) (record *messenger.ChangeRecord, accepted bool) {
+	if first := r.byID[c.GetId()]; first != nil {
+		return first, false
+	}
+	record = &messenger.ChangeRecord{
+		Id:               c.GetId(),
+		Team:             c.GetTeam(),
+		Operator:         c.GetOperator(),
+		UnixMilliseconds: c.GetUnixMilliseconds(),
+		Digest:           Digest(c),
+	}
+	entry, _ := r.manifest.Team(c.GetTeam())
+	if entry.Number != c.GetParent() {
+		record.Conflict = true
+		record.ActualParent = entry.Number
+		r.keep(record)
+		return record, false
+	}
+	r.accept(c)
+	record.Number = r.manifest.Number()
+	hash := r.manifest.Hash()
+	record.Hash = hash[:]
+	r.keep(record)
+	return record, true
+}
+
+func (r *Recorder) accept(c *messenger.Change) {
+	rendered, _ := fireflymoor.HashFrom(c.GetRenderedHash())
+	r.manifest = r.manifest.With(fireflymoor.TeamEntry{
+		Team:     c.GetTeam(),
+		Template: fireflymoor.HashOf(c.GetTemplate()),
+		Values:   fireflymoor.HashOf(c.GetValues()),
+		Rendered: rendered,
+	})
+	r.inputs[c.GetTeam()] = fireflymoor.Inputs{
+		Template: c.GetTemplate(),
+		Values:   c.GetValues(),
+	}
+}
+
+func (r *Recorder) keep(record *messenger.ChangeRecord) {
+	r.records = append(r.records, record)
+	r.byID[record.GetId()] = record
+	if len(r.records) > recordsKept {
+		delete(r.byID, r.records[0].GetId())
+		r.records = r.records[1:]
+	}
+}
+
+// Manifest returns the accepted version.
+func (r *Recorder) Manifest() fireflymoor.Manifest {
+	return r.manifest
+}
+
+// Inputs returns a team's accepted inputs, and false if it has none.
+func (r *Recorder) Inputs(team string) (fireflymoor.Inputs, bool) {
+	inputs, ok := r.inputs[team]
+	return inputs, ok
+}
+
+// Record returns the outcome of a change, or nil.
+func (r *Recorder) Record(id string) *messenger.ChangeRecord {
+	return r.byID[id]
+}
+
+// Records returns the latest outcomes, the newest first.
+func (r *Recorder) Records(most int) []*messenger.ChangeRecord {
+	records := make([]*messenger.ChangeRecord, 0, min(most, len(r.records)))
+	for i := len(r.records) - 1; i >= 0 && len(records) < most; i-- {
+		records = append(records, r.records[i])
+	}
+	return records
+}
+
+// Snapshot returns the whole state.
+func (r *Recorder) Snapshot() ([]byte, error) {
+	state := &messenger.State{
+		Manifest: messenger.FromManifest(r.manifest),
+		Inputs:   map[string]*messenger.Inputs{},
+		Records:  r.records,
+	}
+	for team, inputs := range r.inputs {
+		state.Inputs[team] = &messenger.Inputs{
+			Template: inputs.Template,
+			Values:   inputs.Values,
+		}
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
+	return data, errors.Wrap(err, "recorder: encode the state")
+}
+
+// Restore replaces the whole state.
+func (r *Recorder) Restore(data []byte) error {
+	state := &messenger.State{}
+	if err := proto.Unmarshal(data, state); err != nil {
+		return errors.Wrap(err, "recorder: decode the state")
+	}
+	manifest, err := messenger.ToManifest(state.GetManifest())
+	if err != nil {
+		return errors.Wrap(err, "recorder: decode the state")
+	}
+	*r = *New()
+	r.manifest = manifest
+	for team, inputs := range state.GetInputs() {
+		r.inputs[team] = fireflymoor.Inputs{
+			Template: inputs.GetTemplate(),
+			Values:   inputs.GetValues(),
+		}
+	}
+	for _, record := range state.GetRecords() {
+		r.keep(record)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/replicator/election.go
@@ -0,0 +1,154 @@
+package replicator
+
+import (
+	"time"
+
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+)
+
+// mayVote says whether the members named by a candidate include this disk. A
+// disk that is not named has not been re-admitted and holds only a subset.
+func (r *Replicator) mayVote(expectedDisk string) bool {
+	return r.config.AdmitAnyDisk || expectedDisk == r.config.Disk
+}
+
+func (r *Replicator) memberDisk(name string) (string, bool) {
+	for _, m := range r.members() {
+		if m.GetName() == name {
+			return m.GetDisk(), true
+		}
+	}
+	return "", false
+}
+
+// counts says whether a message from name on disk counts in a quorum.
+func (r *Replicator) counts(name, disk string) bool {
+	expected, ok := r.memberDisk(name)
+	return ok && (r.config.AdmitAnyDisk || expected == disk)
+}
+
+func (r *Replicator) quorum() int {
+	return len(r.members())/2 + 1
+}
+
+func (r *Replicator) startPreVote(now time.Time) {
+	r.resetElection(now)
+	if !r.counts(r.config.Name, r.config.Disk) {
+		return
+	}
+	r.role = PreCandidate
+	r.leader = ""
+	r.votes = map[string]bool{r.config.Name: true}
+	r.requestVotes(messenger.ReplicaMessageKind_PRE_VOTE, r.durable.Term+1)
+	r.countPreVotes(now)
+}
+
+func (r *Replicator) requestVotes(kind messenger.ReplicaMessageKind, term uint64) {
+	for _, m := range r.members() {
+		if m.GetName() == r.config.Name {
+			continue
+		}
+		r.send(&messenger.ReplicaMessage{
+			Kind:    kind,
+			To:      m.GetName(),
+			Term:    term,
+			Index:   r.lastIndex(),
+			LogTerm: r.termAt(r.lastIndex()),
+			Data:    []byte(m.GetDisk()),
+		})
+	}
+}
+
+// onPreVote grants a pre-vote unless a leader was heard lately.
+func (r *Replicator) onPreVote(m *messenger.ReplicaMessage, now time.Time) {
+	leaderAlive := r.role == Leader || (r.leader != "" && now.Sub(r.heard) < r.config.Election)
+	granted := !leaderAlive &&
+		m.GetTerm() > r.durable.Term &&
+		r.mayVote(string(m.GetData())) &&
+		r.upToDate(m.GetIndex(), m.GetLogTerm())
+	reply := &messenger.ReplicaMessage{
+		Kind:    messenger.ReplicaMessageKind_PRE_VOTE_REPLY,
+		To:      m.GetFrom(),
+		Term:    m.GetTerm(),
+		Refused: !granted,
+	}
+	if !granted {
+		reply.Term = r.durable.Term
+	}
+	r.send(reply)
+}
+
+func (r *Replicator) onPreVoteReply(m *messenger.ReplicaMessage, now time.Time) {
+	if m.GetRefused() {
+		if m.GetTerm() > r.durable.Term {
+			r.becomeFollower(m.GetTerm(), "", now)
+		}
+		return
+	}
+	if r.role != PreCandidate || m.GetTerm() != r.durable.Term+1 {
+		return
+	}
+	r.addVote(m)
+	r.countPreVotes(now)
+}
+
+func (r *Replicator) addVote(m *messenger.ReplicaMessage) {
+	if r.counts(m.GetFrom(), m.GetDisk()) {
+		r.votes[m.GetFrom()] = true
+	}
+}
+
+func (r *Replicator) countPreVotes(now time.Time) {
+	if len(r.votes) < r.quorum() {
+		return
+	}
+	r.role = Candidate
+	r.setTerm(r.durable.Term+1, r.config.Name)
+	r.resetElection(now)
+	r.votes = map[string]bool{r.config.Name: true}
+	r.requestVotes(messenger.ReplicaMessageKind_VOTE, r.durable.Term)
+	r.countVotes(now)
+}
+
+func (r *Replicator) onVote(m *messenger.ReplicaMessage, now time.Time) {
+	granted := m.GetTerm() == r.durable.Term &&
+		(r.durable.Vote == "" || r.durable.Vote == m.GetFrom()) &&
+		r.mayVote(string(m.GetData())) &&
+		r.upToDate(m.GetIndex(), m.GetLogTerm())
+	if granted {
+		r.setTerm(r.durable.Term, m.GetFrom())
+		r.resetElection(now)
+	}
+	r.send(&messenger.ReplicaMessage{
+		Kind:    messenger.ReplicaMessageKind_VOTE_REPLY,
+		To:      m.GetFrom(),
+		Refused: !granted,
+	})
+}
+
+func (r *Replicator) onVoteReply(m *messenger.ReplicaMessage, now time.Time) {
+	if r.role != Candidate || m.GetTerm() != r.durable.Term || m.GetRefused() {
+		return
+	}
+	r.addVote(m)
+	r.countVotes(now)
+}
+
+func (r *Replicator) countVotes(now time.Time) {
+	if len(r.votes) < r.quorum() {
+		return
+	}
+	r.role = Leader
+	r.leader = r.config.Name
+	r.reads = nil
+	r.quorumChecked = now
+	r.progress = map[string]*progress{}
+	for _, name := range r.config.Peers {
+		if name != r.config.Name {
+			r.progress[name] = &progress{next: r.lastIndex() + 1}
+		}
+	}
+	r.appendOwn(messenger.EntryKind_ENTRY_EMPTY, nil)
+	r.replicate(now)
+	r.advanceCommit()
+}
--- /dev/null
+++ b/internal/replicator/replicator.go
@@ -0,0 +1,383 @@
+// Package replicator decides for one control replica of the replicated log:
+// elections, replication, commitment, reads and membership. It is a pure step
+// function. Disks, sockets and clocks belong to the caller.
+package replicator
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+)
+
+// ErrNoLeader says that a proposal or read was not taken, as no leader is
+// known.
+var ErrNoLeader = errors.New("no leader is known")
+
+// Role is a replica's part in the current term.
+type Role int
+
+// The roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role's name.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Config is what a Replicator is told at its start.
+type Config struct {
+	// Name is this replica's name.
+	Name string
+	// Disk identifies the disk under this replica.
+	Disk string
+	// Peers are the names of all replicas in the settings, this one included.
+	Peers []string
+	// Heartbeat is the time between a leader's messages.
+	Heartbeat time.Duration
+	// Election is the least time without a leader before a vote.
+	Election time.Duration
+	// AdmitAnyDisk lets a new disk vote under its old name at once. It is
+	// unsafe, and exists so that a test can show the loss.
+	AdmitAnyDisk bool
+}
+
+// Durable is what a disk holds of a replica.
+type Durable struct {
+	// Term is the highest term seen.
+	Term uint64
+	// Vote is the candidate voted for in Term, or empty.
+	Vote string
+	// Snapshot is the latest snapshot, or nil.
+	Snapshot *messenger.Snapshot
+	// Entries follow the snapshot without a gap.
+	Entries []*messenger.Entry
+}
+
+// Save must be synced to disk before an Effects' messages leave.
+type Save struct {
+	// Term and Vote replace those on disk.
+	Term uint64
+	// Vote is the candidate voted for in Term.
+	Vote string
+	// From is the index of the first entry to replace; all after it go.
+	// Zero leaves the entries alone.
+	From uint64
+	// Entries are written from From on.
+	Entries []*messenger.Entry
+	// Snapshot replaces the snapshot and all entries up to its index.
+	Snapshot *messenger.Snapshot
+	// Reset drops all entries, as the snapshot came from the leader.
+	Reset bool
+}
+
+// Read is the answer to a read.
+type Read struct {
+	// Token is the one given to Confirm.
+	Token uint64
+	// Index must be applied before the reader may look.
+	Index uint64
+}
+
+// Effects is what a step asks its caller to do, in the order of the fields.
+type Effects struct {
+	// Save is to be synced first, unless nil.
+	Save *Save
+	// Messages are to be sent.
+	Messages []*messenger.ReplicaMessage
+	// Restore replaces the state machine, unless nil.
+	Restore *messenger.Snapshot
+	// Committed are to be applied in order.
+	Committed []*messenger.Entry
+	// Reads are confirmed reads.
+	Reads []Read
+}
+
+// Status is a replica's view of the log.
+type Status struct {
+	// Role is the replica's role.
+	Role Role
+	// Term is the current term.
+	Term uint64
+	// Leader is the leader's name, or empty.
+	Leader string
+	// Commit is the commit index.
+	Commit uint64
+	// Last is the index of the last entry.
+	Last uint64
+	// Members are the voters.
+	Members []*messenger.Member
+	// Quorum says whether a quorum was heard within the election time: by a
+	// leader itself, by others through a leader.
+	Quorum bool
+}
+
+type progress struct {
+	disk    string
+	next    uint64
+	match   uint64
+	admitAt uint64
+	round   uint64
+	heard   time.Time
+}
+
+type pendingRead struct {
+	token uint64
+	from  string
+	index uint64
+	round uint64
+}
+
+// A Replicator holds one replica's part of the replicated log. Its methods
+// are called from one goroutine.
+type Replicator struct {
+	config  Config
+	random  *rand.Rand
+	durable Durable
+
+	role     Role
+	leader   string
+	commit   uint64
+	applied  uint64
+	votes    map[string]bool
+	progress map[string]*progress
+	round    uint64
+	reads    []pendingRead
+
+	heard         time.Time
+	electionDue   time.Time
+	heartbeatDue  time.Time
+	quorumChecked time.Time
+
+	effects Effects
+}
+
+// New returns a new Replicator that goes on from what its disk holds.
+func New(config Config, durable Durable, random *rand.Rand, now time.Time) *Replicator {
+	r := &Replicator{
+		config:  config,
+		random:  random,
+		durable: durable,
+	}
+	if durable.Snapshot != nil {
+		r.commit = durable.Snapshot.GetIndex()
+		r.applied = r.commit
+	}
+	r.resetElection(now)
+	return r
+}
+
+// Blank says whether the disk has never held any of the log.
+func (r *Replicator) Blank() bool {
+	return r.durable.Term == 0 && r.durable.Snapshot == nil && len(r.durable.Entries) == 0
+}
+
+// Bootstrap starts a new log with this replica as its only member. Others
+// are admitted when they have caught up.
+func (r *Replicator) Bootstrap(now time.Time) (Effects, error) {
+	if !r.Blank() {
+		return Effects{}, errors.New("the disk holds a log already")
+	}
+	r.setTerm(1, "")
+	r.append([]*messenger.Entry{membershipEntry(1, 1, []*messenger.Member{
+		{
+			Name: r.config.Name,
+			Disk: r.config.Disk,
+		},
+	})})
+	r.electionDue = now
+	return r.Tick(now), nil
+}
+
+// Status returns the replica's view of the log.
+func (r *Replicator) Status(now time.Time) Status {
+	quorum := r.role != Leader && r.leader != "" && now.Sub(r.heard) < r.config.Election
+	if r.role == Leader {
+		quorum = r.heardByQuorum(now)
+	}
+	return Status{
+		Role:    r.role,
+		Term:    r.durable.Term,
+		Leader:  r.leader,
+		Commit:  r.commit,
+		Last:    r.lastIndex(),
+		Members: r.members(),
+		Quorum:  quorum,
+	}
+}
+
+// Tick lets time pass.
+func (r *Replicator) Tick(now time.Time) Effects {
+	if r.role == Leader {
+		r.tickLeader(now)
+		return r.take()
+	}
+	if !now.Before(r.electionDue) {
+		r.startPreVote(now)
+	}
+	return r.take()
+}
+
+// Propose asks for data to be committed. It forwards to the leader; the
+// caller learns the outcome when the entry is applied.
+func (r *Replicator) Propose(data []byte, now time.Time) (Effects, error) {
+	if r.role == Leader {
+		r.appendOwn(messenger.EntryKind_ENTRY_CHANGE, data)
+		r.replicate(now)
+		r.advanceCommit()
+		return r.take(), nil
+	}
+	if r.leader == "" {
+		return Effects{}, ErrNoLeader
+	}
+	r.send(&messenger.ReplicaMessage{
+		Kind: messenger.ReplicaMessageKind_FORWARD,
+		To:   r.leader,
+		Data: data,
+	})
+	return r.take(), nil
+}
+
+// Confirm asks for an index that a quorum confirms after this call.
+func (r *Replicator) Confirm(token uint64, now time.Time) (Effects, error) {
+	if r.role == Leader {
+		r.startRead(token, r.config.Name, now)
+		return r.take(), nil
+	}
+	if r.leader == "" {
+		return Effects{}, ErrNoLeader
+	}
+	r.send(&messenger.ReplicaMessage{
+		Kind:  messenger.ReplicaMessageKind_READ,
+		To:    r.leader,
+		Token: token,
+	})
+	return r.take(), nil
+}
+
+// Compact replaces the log up to index by state.
+func (r *Replicator) Compact(index uint64, state []byte) Effects {
+	if index > r.applied || index <= r.snapshotIndex() {
+		return Effects{}
+	}
+	snapshot := &messenger.Snapshot{
+		Index:      index,
+		Term:       r.termAt(index),
+		Membership: &messenger.Membership{Members: r.membersAt(index)},
+		State:      state,
+	}
+	r.durable.Entries = r.durable.Entries[index-r.snapshotIndex():]
+	r.durable.Snapshot = snapshot
+	r.save().Snapshot = snapshot
+	return r.take()
+}
+
+// Step takes one message from another replica.
+func (r *Replicator) Step(m *messenger.ReplicaMessage, now time.Time) Effects {
+	switch m.GetKind() {
+	case messenger.ReplicaMessageKind_PRE_VOTE:
+		r.onPreVote(m, now)
+	case messenger.ReplicaMessageKind_PRE_VOTE_REPLY:
+		r.onPreVoteReply(m, now)
+	case messenger.ReplicaMessageKind_FORWARD:
+		r.onForward(m, now)
+	case messenger.ReplicaMessageKind_READ:
+		r.onRead(m, now)
+	case messenger.ReplicaMessageKind_READ_REPLY:
+		r.effects.Reads = append(r.effects.Reads, Read{
+			Token: m.GetToken(),
+			Index: m.GetIndex(),
+		})
+	default:
+		r.stepInTerm(m, now)
+	}
+	return r.take()
+}
+
+func (r *Replicator) stepInTerm(m *messenger.ReplicaMessage, now time.Time) {
+	if m.GetTerm() > r.durable.Term {
+		r.becomeFollower(m.GetTerm(), "", now)
+	}
+	switch m.GetKind() {
+	case messenger.ReplicaMessageKind_VOTE:
+		r.onVote(m, now)
+	case messenger.ReplicaMessageKind_VOTE_REPLY:
+		r.onVoteReply(m, now)
+	case messenger.ReplicaMessageKind_APPEND, messenger.ReplicaMessageKind_INSTALL:
+		r.onAppend(m, now)
+	case messenger.ReplicaMessageKind_APPEND_REPLY:
+		r.onAppendReply(m, now)
+	}
+}
+
+func (r *Replicator) onForward(m *messenger.ReplicaMessage, now time.Time) {
+	if r.role != Leader {
+		return
+	}
+	r.appendOwn(messenger.EntryKind_ENTRY_CHANGE, m.GetData())
+	r.replicate(now)
+	r.advanceCommit()
+}
+
+func (r *Replicator) send(m *messenger.ReplicaMessage) {
+	m.From = r.config.Name
+	m.Disk = r.config.Disk
+	if m.GetTerm() == 0 {
+		m.Term = r.durable.Term
+	}
+	r.effects.Messages = append(r.effects.Messages, m)
+}
+
+// take returns the effects gathered since the last call.
+func (r *Replicator) take() Effects {
+	r.applyCommitted()
+	effects := r.effects
+	r.effects = Effects{}
+	return effects
+}
+
+func (r *Replicator) applyCommitted() {
+	for r.applied < r.commit {
+		r.applied++
+		r.effects.Committed = append(r.effects.Committed, r.entryAt(r.applied))
+	}
+}
+
+func (r *Replicator) save() *Save {
+	if r.effects.Save == nil {
+		r.effects.Save = &Save{}
+	}
+	r.effects.Save.Term = r.durable.Term
+	r.effects.Save.Vote = r.durable.Vote
+	return r.effects.Save
+}
+
+func (r *Replicator) setTerm(term uint64, vote string) {
+	r.durable.Term = term
+	r.durable.Vote = vote
+	r.save()
+}
+
+func (r *Replicator) resetElection(now time.Time) {
+	spread := time.Duration(r.random.Int64N(int64(r.config.Election)))
+	r.electionDue = now.Add(r.config.Election + spread)
+}
+
+func (r *Replicator) becomeFollower(term uint64, leader string, now time.Time) {
+	if term > r.durable.Term {
+		r.setTerm(term, "")
+	}
+	if r.role == Leader {
+		r.resetElection(now)
+	}
+	r.role = Follower
+	r.leader = leader
+	r.reads = nil
+}
--- /dev/null
+++ b/internal/runner/member.go
@@ -0,0 +1,157 @@
+// Package runner puts the parts of a process together and runs them.
+package runner
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/fireflymoor/fireflymoor/internal/asserter"
+	"github.com/fireflymoor/fireflymoor/internal/coordinator"
+	"github.com/fireflymoor/fireflymoor/internal/counter"
+	"github.com/fireflymoor/fireflymoor/internal/loader"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/neighbour"
+	"github.com/fireflymoor/fireflymoor/internal/sequencer"
+)
+
+const (
+	headTimeout = 5 * time.Second
+	idleTimeout = time.Minute
+	maxHead     = 64 << 10
+	// shutdownTimeout bounds the wait for calls in flight at the end.
+	shutdownTimeout = 30 * time.Second
+)
+
+// member is what every process of the system has: its place in the overlay,
+// and what the platform sees of it.
+type member struct {
+	settings    loader.Settings
+	log         zerolog.Logger
+	registry    *prometheus.Registry
+	asserter    asserter.Asserter
+	counter     *counter.Counter
+	sequencer   *sequencer.Sequencer
+	coordinator *coordinator.Coordinator
+	client      *neighbour.Client
+	random      *rand.Rand
+	boot        uint64
+	listeners   map[string]net.Listener
+}
+
+// newMember returns a member that listens on the addresses.
+func newMember(settings loader.Settings, out io.Writer, addresses ...string) (*member, error) {
+	log := zerolog.New(out).Level(settings.Level).With().
+		Timestamp().Str("process", settings.Name).Logger()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	var options []asserter.Option
+	if settings.CountViolations {
+		options = append(options, asserter.WithCountOnly())
+	}
+	now := time.Now()
+	m := &member{
+		settings:  settings,
+		log:       log,
+		registry:  registry,
+		asserter:  asserter.New(log, registry, options...),
+		counter:   counter.New(registry),
+		sequencer: sequencer.New(),
+		random:    rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
+		boot:      uint64(now.UnixNano()),
+		listeners: map[string]net.Listener{},
+	}
+	m.client = neighbour.NewClient(m.counter)
+	return m, m.listen(addresses)
+}
+
+// listen opens all listeners, so that a taken address is found at once.
+func (m *member) listen(addresses []string) error {
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			m.close()
+			return errors.Wrapf(err, "process %s: listen", m.settings.Name)
+		}
+		m.listeners[address] = l
+	}
+	return nil
+}
+
+func (m *member) close() {
+	for _, l := range m.listeners {
+		_ = l.Close()
+	}
+}
+
+// join makes the coordinator for the process's own fact.
+func (m *member) join(fact *messenger.Fact, watcher coordinator.Watcher) {
+	fact.Name = m.settings.Name
+	fact.Zone = m.settings.Zone
+	fact.Boot = m.boot
+	fact.Sequence = 1
+	fact.OverlayAddress = m.settings.Overlay
+	m.coordinator = coordinator.New(coordinator.Options{
+		Self:      fact,
+		Seeds:     m.settings.Seeds(),
+		Sequencer: m.sequencer,
+		Asserter:  m.asserter,
+		Counter:   m.counter,
+		Random:    m.random,
+		Log:       m.log,
+		Watcher:   watcher,
+	}, time.Now())
+}
+
+// server returns an HTTP server with bounds on what a client may do.
+func server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHead,
+		ErrorLog:          nil,
+	}
+}
+
+// serve serves HTTP on an address until the server is shut down.
+func (m *member) serve(group *sync.WaitGroup, s *http.Server, address string) {
+	s.ErrorLog = quietLog(m.log)
+	group.Go(func() {
+		if err := s.Serve(m.listeners[address]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			m.log.Error().Err(err).Str("address", address).Msg("process: serving ended")
+		}
+	})
+}
+
+// shutdown lets the requests in flight end.
+func (m *member) shutdown(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		m.log.Warn().Err(err).Msg("process: requests were cut at the end")
+		_ = s.Close()
+	}
+}
+
+// serveOverlay answers the other processes until ctx ends.
+func (m *member) serveOverlay(ctx context.Context, group *sync.WaitGroup, mux *drpcmux.Mux) {
+	group.Go(func() {
+		if err := neighbour.Serve(ctx, m.listeners[m.settings.Overlay], mux, m.counter); err != nil {
+			m.log.Error().Err(err).Msg("overlay: serving ended")
+		}
+	})
+}
--- /dev/null
+++ b/internal/runner/node.go
@@ -0,0 +1,363 @@
+package runner
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/applier"
+	"github.com/fireflymoor/fireflymoor/internal/balancer"
+	"github.com/fireflymoor/fireflymoor/internal/caller"
+	"github.com/fireflymoor/fireflymoor/internal/ejector"
+	"github.com/fireflymoor/fireflymoor/internal/forwarder"
+	"github.com/fireflymoor/fireflymoor/internal/loader"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/platform"
+	"github.com/fireflymoor/fireflymoor/internal/receiver"
+	"github.com/fireflymoor/fireflymoor/internal/registrar"
+	"github.com/fireflymoor/fireflymoor/internal/reporter"
+	"github.com/fireflymoor/fireflymoor/internal/retrier"
+	"github.com/fireflymoor/fireflymoor/internal/target"
+	"github.com/fireflymoor/fireflymoor/internal/tracker"
+	"github.com/fireflymoor/fireflymoor/pkg/parser"
+	"github.com/fireflymoor/fireflymoor/pkg/renderer"
+)
+
+const (
+	leaseInterval  = 100 * time.Millisecond
+	reportInterval = 150 * time.Millisecond
+	reportTimeout  = 2 * time.Second
+	// viewDelay gathers changes of members before the view is made anew.
+	viewDelay      = 20 * time.Millisecond
+	confirmTimeout = 1500 * time.Millisecond
+	confirmWait    = 200 * time.Millisecond
+)
+
+var errNotReporter = errors.New("this process gathers no reports")
+
+// node is the process in a target instance's slot.
+type node struct {
+	*member
+
+	applier  *applier.Applier
+	reporter *reporter.Reporter
+	targets  *target.Registry
+	tracker  *tracker.Tracker
+	remote   *forwarder.Remote
+	view     atomic.Pointer[fireflymoor.View]
+	viewDue  bool
+	links    atomic.Int64
+	leaving  atomic.Bool
+
+	callers  *http.Server
+	calls    *http.Server
+	platform *http.Server
+}
+
+// NewNode returns a new fireflymoor.Process for the role of a node. Its
+// addresses are taken at once.
+func NewNode(settings loader.Settings, out io.Writer) (fireflymoor.Process, error) {
+	m, err := newMember(settings, out, settings.Overlay, settings.Calls, settings.Callers, settings.Platform)
+	if err != nil {
+		return nil, err
+	}
+	n := &node{
+		member:   m,
+		applier:  applier.New(settings.Team, renderer.New(parser.New()), m.asserter),
+		reporter: reporter.New(settings.Zone, settings.Name),
+		tracker:  tracker.New(settings.Zone),
+		remote:   forwarder.NewRemote(),
+	}
+	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
+	n.view.Store(&empty)
+	n.targets = target.NewRegistry(settings.Name, settings.Lease, m.log, n.targetsChanged)
+	m.join(&messenger.Fact{
+		Team:        settings.Team,
+		CallAddress: settings.Calls,
+	}, n)
+	n.serveCalls()
+	return n, nil
+}
+
+// serveCalls makes the handlers that carry traffic.
+func (n *node) serveCalls() {
+	local := target.NewServer(n.targets)
+	handler := caller.New(caller.Options{
+		Node:      n.settings.Name,
+		Viewer:    n,
+		Balancer:  balancer.NewTwoChoices(),
+		Forwarder: forwarder.New(n.settings.Name, local, n.remote),
+		Tracker:   n.tracker,
+		Ejector:   ejector.New(),
+		Budget:    retrier.NewBudget(),
+		Metrics:   caller.NewMetrics(n.registry),
+		Log:       n.log,
+		Decisions: n.settings.Decisions,
+	})
+	n.callers = server(handler)
+	n.callers.Protocols = &http.Protocols{}
+	n.callers.Protocols.SetHTTP1(true)
+	n.callers.Protocols.SetUnencryptedHTTP2(true)
+	n.calls = server(receiver.New(n.boot, local, registrar.New(), n.log))
+	n.platform = server(platform.NewHandler(n.registry, n.unready, n.targets))
+}
+
+// View implements fireflymoor.Viewer.
+func (n *node) View() fireflymoor.View {
+	return *n.view.Load()
+}
+
+// unready says why the node should get no callers, or nothing.
+func (n *node) unready() string {
+	switch {
+	case n.leaving.Load():
+		return "leaving"
+	case n.View().Configuration().Number() == 0:
+		return "no configuration is in force"
+	}
+	return ""
+}
+
+// Run implements fireflymoor.Process.
+func (n *node) Run(ctx context.Context) error {
+	defer n.close()
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	controlling, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	var group sync.WaitGroup
+	var control sync.WaitGroup
+	control.Go(func() { n.sequencer.Run(controlling) })
+	n.serveOverlay(working, &group, n.mux())
+	n.serve(&group, n.callers, n.settings.Callers)
+	n.serve(&group, n.calls, n.settings.Calls)
+	n.serve(&group, n.platform, n.settings.Platform)
+	group.Go(func() { n.coordinator.Run(working) })
+	group.Go(func() { n.confirm(working) })
+	group.Go(func() { n.sequencer.Every(working, reportInterval, func() { n.report(working) }) })
+	group.Go(func() { n.expireLeases(working) })
+	n.log.Info().Str("zone", n.settings.Zone).Str("team", n.settings.Team).Msg("process: node started")
+	<-ctx.Done()
+	n.leave()
+	stop()
+	group.Wait()
+	stopControl()
+	control.Wait()
+	n.client.Close()
+	n.log.Info().Msg("process: node ended")
+	return nil
+}
+
+// leave gives up the node's place without cutting a call: new work is refused
+// as not run, callers are told to connect elsewhere, and what is in flight
+// ends.
+func (n *node) leave() {
+	n.log.Info().Msg("process: node is leaving")
+	n.leaving.Store(true)
+	n.targets.DrainAll()
+	n.callers.SetKeepAlivesEnabled(false)
+	time.Sleep(n.settings.Grace)
+	n.shutdown(n.callers)
+	n.shutdown(n.calls)
+	n.shutdown(n.platform)
+}
+
+func (n *node) mux() *drpcmux.Mux {
+	mux := drpcmux.New()
+	_ = messenger.DRPCRegisterOverlay(mux, &nodeOverlay{node: n})
+	return mux
+}
+
+// nodeOverlay answers other processes.
+type nodeOverlay struct {
+	node *node
+}
+
+// Link implements messenger.DRPCOverlayServer.
+func (o *nodeOverlay) Link(s messenger.DRPCOverlay_LinkStream) error {
+	return o.node.coordinator.Linker().Accept(s.Context(), s)
+}
+
+// ReportHeld implements messenger.DRPCOverlayServer.
+func (o *nodeOverlay) ReportHeld(_ context.Context, report *messenger.HeldReport) (*messenger.Empty, error) {
+	o.node.sequencer.Post(func() {
+		o.node.reporter.Hear(report)
+	})
+	return &messenger.Empty{}, nil
+}
+
+// Drain implements messenger.DRPCOverlayServer.
+func (o *nodeOverlay) Drain(context.Context, *messenger.Empty) (*messenger.Empty, error) {
+	o.node.targets.DrainAll()
+	return &messenger.Empty{}, nil
+}
+
+// targetsChanged passes the instance's targets on to the overlay.
+func (n *node) targetsChanged(targets []*messenger.Target) {
+	n.sequencer.Post(func() {
+		n.coordinator.SetTargets(targets)
+	})
+}
+
+func (n *node) expireLeases(ctx context.Context) {
+	ticker := time.NewTicker(leaseInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.targets.Expire(time.Now())
+		}
+	}
+}
+
+// Stored implements coordinator.Watcher.
+func (n *node) Stored() {
+	distributor := n.coordinator.Distributor()
+	inputs, _ := distributor.Inputs(n.settings.Team)
+	if !n.applier.Apply(distributor.Manifest(), inputs) {
+		if err := n.applier.Refusal(); err != nil {
+			n.log.Warn().Err(err).Uint64("version", distributor.Manifest().Number()).Msg("config: kept the version before")
+		}
+		return
+	}
+	current := n.applier.Current()
+	n.coordinator.SetHeld(current.Number())
+	view := n.View().WithConfiguration(current)
+	n.view.Store(&view)
+	n.targets.Configure(current)
+	n.log.Info().Uint64("version", current.Number()).Msg("config: in force")
+}
+
+// MembersChanged implements coordinator.Watcher.
+func (n *node) MembersChanged() {
+	if n.viewDue {
+		return
+	}
+	n.viewDue = true
+	time.AfterFunc(viewDelay, func() {
+		n.sequencer.Post(n.makeView)
+	})
+}
+
+func (n *node) makeView() {
+	n.viewDue = false
+	targets := n.coordinator.Announcer().Targets()
+	view := n.View().WithTargets(targets)
+	n.view.Store(&view)
+	n.tracker.Forget(targets)
+	n.remote.Forget(targets)
+}
+
+// confirm learns from a quorum how new a version must be, before any is put
+// in force.
+func (n *node) confirm(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, replica := range n.settings.Replicas {
+			later, err := n.confirmAt(ctx, replica)
+			if err == nil && later == 0 {
+				return
+			}
+			sleep(ctx, max(jitter(confirmWait), later))
+		}
+	}
+}
+
+func (n *node) confirmAt(ctx context.Context, replica loader.Replica) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	var reply *messenger.ConfirmReply
+	err := n.client.Call(ctx, replica.Address, func(conn drpc.Conn) error {
+		var err error
+		reply, err = messenger.NewDRPCSourceClient(conn).Confirm(ctx, &messenger.Empty{})
+		return err
+	})
+	if err != nil {
+		n.log.Info().Str("replica", replica.Name).Err(err).Msg("config: not confirmed")
+		return 0, errors.Wrapf(err, "node: confirm at %s", replica.Name)
+	}
+	if reply.GetLaterMilliseconds() > 0 {
+		return time.Duration(reply.GetLaterMilliseconds()) * time.Millisecond, nil
+	}
+	n.sequencer.Post(func() {
+		n.applier.Confirm(reply.GetNumber())
+		n.log.Info().Uint64("version", reply.GetNumber()).Str("replica", replica.Name).Msg("config: confirmed by a quorum")
+		n.Stored()
+	})
+	return 0, nil
+}
+
+// report tells the zone's reporters what is held here, and as a reporter tells
+// the control replicas of the zone.
+func (n *node) report(ctx context.Context) {
+	now := time.Now()
+	announcer := n.coordinator.Announcer()
+	report := &messenger.HeldReport{
+		Name: n.settings.Name,
+		Boot: announcer.Self().GetBoot(),
+		Held: n.applier.Held(),
+	}
+	if err := n.applier.Refusal(); err != nil {
+		report.Refusal = err.Error()
+	}
+	reporters := announcer.Reporters(n.settings.Zone)
+	for _, f := range n.reporter.Tell(report, reporters, now) {
+		n.tell(ctx, f, report)
+	}
+	if !includes(reporters, n.settings.Name) {
+		return
+	}
+	number := n.coordinator.Distributor().Manifest().Number()
+	sum := n.reporter.Sum(number, announcer.ZoneNodes(n.settings.Zone), now)
+	if sum != nil {
+		n.tellReplicas(ctx, sum)
+	}
+}
+
+func (n *node) tell(ctx context.Context, to *messenger.Fact, report *messenger.HeldReport) {
+	if to.GetName() == n.settings.Name {
+		n.reporter.Hear(report)
+		return
+	}
+	go n.call(ctx, to.GetOverlayAddress(), func(ctx context.Context, conn drpc.Conn) error {
+		_, err := messenger.NewDRPCOverlayClient(conn).ReportHeld(ctx, report)
+		return err
+	})
+}
+
+func (n *node) tellReplicas(ctx context.Context, sum *messenger.ZoneReport) {
+	for _, replica := range n.settings.Replicas {
+		go n.call(ctx, replica.Address, func(ctx context.Context, conn drpc.Conn) error {
+			_, err := messenger.NewDRPCSourceClient(conn).ReportZone(ctx, sum)
+			return err
+		})
+	}
+}
+
+// call makes one call that may fail: what it says is said again.
+func (n *node) call(ctx context.Context, address string, call func(ctx context.Context, conn drpc.Conn) error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	err := n.client.Call(ctx, address, func(conn drpc.Conn) error {
+		return call(ctx, conn)
+	})
+	if err != nil {
+		n.log.Debug().Str("address", address).Err(err).Msg("report: not sent")
+	}
+}
+
+func includes(facts []*messenger.Fact, name string) bool {
+	for _, f := range facts {
+		if f.GetName() == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,105 @@
+// Package tracker knows the load of targets as this proxy sees it: its own
+// calls in flight and what each answer said last.
+package tracker
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflymoor/fireflymoor"
+)
+
+// loadLife is how long a target's last word on its load is believed.
+const loadLife = time.Second
+
+// A Tracker tracks targets by id and boot.
+type Tracker struct {
+	zone    string
+	entries sync.Map
+}
+
+type key struct {
+	id   string
+	boot uint64
+}
+
+type entry struct {
+	first    time.Time
+	inFlight atomic.Int64
+	load     atomic.Uint64
+	loadAt   atomic.Int64
+}
+
+// New returns a new Tracker for a proxy in a zone.
+func New(zone string) *Tracker {
+	return &Tracker{
+		zone: zone,
+	}
+}
+
+func (t *Tracker) entry(target fireflymoor.Target, now time.Time) *entry {
+	k := key{
+		id:   target.ID,
+		boot: target.Boot,
+	}
+	if e, ok := t.entries.Load(k); ok {
+		return e.(*entry)
+	}
+	e, _ := t.entries.LoadOrStore(k, &entry{
+		first: now,
+	})
+	return e.(*entry)
+}
+
+// Begin counts a call to a target until the returned function is called.
+func (t *Tracker) Begin(target fireflymoor.Target, now time.Time) func() {
+	e := t.entry(target, now)
+	e.inFlight.Add(1)
+	return func() {
+		e.inFlight.Add(-1)
+	}
+}
+
+// SetLoad notes the load that a target's answer carried.
+func (t *Tracker) SetLoad(target fireflymoor.Target, load float64, now time.Time) {
+	e := t.entry(target, now)
+	e.load.Store(math.Float64bits(load))
+	e.loadAt.Store(now.UnixNano())
+}
+
+// Candidate returns a target with its load. Its weight grows over slowStart
+// from when this proxy first saw it.
+func (t *Tracker) Candidate(target fireflymoor.Target, slowStart time.Duration, now time.Time) fireflymoor.Candidate {
+	e := t.entry(target, now)
+	load := 0.0
+	if now.UnixNano()-e.loadAt.Load() < int64(loadLife) {
+		load = math.Float64frombits(e.load.Load())
+	}
+	weight := 1.0
+	if age := now.Sub(e.first); age < slowStart {
+		weight = float64(age) / float64(slowStart)
+	}
+	return fireflymoor.Candidate{
+		Target:   target,
+		InFlight: int(e.inFlight.Load()),
+		Load:     load,
+		Weight:   weight,
+		Local:    target.Zone == t.zone,
+	}
+}
+
+// Forget drops all targets but those given.
+func (t *Tracker) Forget(keep []fireflymoor.Target) {
+	kept := map[key]bool{}
+	for i := range keep {
+		kept[key{id: keep[i].ID, boot: keep[i].Boot}] = true
+	}
+	t.entries.Range(func(k, _ any) bool {
+		if !kept[k.(key)] {
+			t.entries.Delete(k)
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/pkg/administrator/client.go
@@ -0,0 +1,181 @@
+package administrator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxResponse bounds a response, in bytes.
+const maxResponse = 16 << 20
+
+// A Client calls the administration API of the first replica that answers.
+type Client struct {
+	addresses []string
+	token     string
+	client    *http.Client
+}
+
+// New returns a new Client of the replicas at addresses, each IP:PORT.
+func New(addresses []string, token string, timeout time.Duration) *Client {
+	return &Client{
+		addresses: addresses,
+		token:     token,
+		client: &http.Client{
+			Timeout: timeout,
+		},
+	}
+}
+
+// Change replaces a team's inputs. It is tried at each replica in turn: its
+// change id makes that safe.
+func (c *Client) Change(ctx context.Context, request ChangeRequest) (ChangeResponse, error) {
+	response := ChangeResponse{}
+	err := c.call(ctx, http.MethodPost, "/v1/teams/"+url.PathEscape(request.Team)+"/changes", request, &response)
+	return response, err
+}
+
+// Render makes a dry run of a change.
+func (c *Client) Render(ctx context.Context, request ChangeRequest) (RenderResponse, error) {
+	response := RenderResponse{}
+	err := c.call(ctx, http.MethodPost, "/v1/teams/"+url.PathEscape(request.Team)+"/render", request, &response)
+	return response, err
+}
+
+// Team returns a team's accepted inputs.
+func (c *Client) Team(ctx context.Context, team string) (Team, error) {
+	response := Team{}
+	err := c.call(ctx, http.MethodGet, "/v1/teams/"+url.PathEscape(team), nil, &response)
+	return response, err
+}
+
+// Teams returns all teams, without their inputs.
+func (c *Client) Teams(ctx context.Context) ([]Team, error) {
+	var response []Team
+	err := c.call(ctx, http.MethodGet, "/v1/teams", nil, &response)
+	return response, err
+}
+
+// Status returns a replica's view of the system.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	response := Status{}
+	err := c.call(ctx, http.MethodGet, "/v1/status", nil, &response)
+	return response, err
+}
+
+// History returns the latest changes, the newest first.
+func (c *Client) History(ctx context.Context) ([]Record, error) {
+	var response []Record
+	err := c.call(ctx, http.MethodGet, "/v1/history", nil, &response)
+	return response, err
+}
+
+// Targets returns all targets.
+func (c *Client) Targets(ctx context.Context) ([]Target, error) {
+	var response []Target
+	err := c.call(ctx, http.MethodGet, "/v1/targets", nil, &response)
+	return response, err
+}
+
+// Drain gives the targets of a node no new work.
+func (c *Client) Drain(ctx context.Context, node string) error {
+	return c.call(ctx, http.MethodPost, "/v1/nodes/"+url.PathEscape(node)+"/drain", struct{}{}, &struct{}{})
+}
+
+// Bootstrap starts the replicated log on the first replica.
+func (c *Client) Bootstrap(ctx context.Context) error {
+	return c.call(ctx, http.MethodPost, "/v1/replicas/bootstrap", struct{}{}, &struct{}{})
+}
+
+// Backup has the first replica write a copy of its disk into its data folder,
+// and returns the file's path there.
+func (c *Client) Backup(ctx context.Context) (string, error) {
+	response := struct {
+		Path string `json:"path"`
+	}{}
+	err := c.call(ctx, http.MethodPost, "/v1/replicas/backup", struct{}{}, &response)
+	return response.Path, err
+}
+
+// call tries each replica until one answers with something other than that
+// it is unavailable.
+func (c *Client) call(ctx context.Context, method, path string, request, response any) error {
+	var last error
+	unknown := false
+	for _, address := range c.addresses {
+		err := c.callOne(ctx, address, method, path, request, response)
+		apiErr := &Error{}
+		if err == nil {
+			return nil
+		}
+		if errors.As(err, &apiErr) && apiErr.Code != CodeUnavailable {
+			return err
+		}
+		unknown = unknown || !errors.As(err, &apiErr) || apiErr.State == Unknown
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	state := NotTaken
+	if unknown && method != http.MethodGet && !refused(last) {
+		state = Unknown
+	}
+	return &Error{
+		Code:   CodeUnavailable,
+		State:  state,
+		Step:   "administrator",
+		Reason: "no replica answered: " + last.Error(),
+	}
+}
+
+// refused says whether an error shows that nothing was sent.
+func refused(err error) bool {
+	return strings.Contains(err.Error(), "connection refused")
+}
+
+func (c *Client) callOne(ctx context.Context, address, method, path string, request, response any) error {
+	var body io.Reader
+	if request != nil {
+		data, err := json.Marshal(request)
+		if err != nil {
+			return errors.Wrapf(err, "administrator %s: encode", address)
+		}
+		body = bytes.NewReader(data)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return errors.Wrapf(err, "administrator %s: request", address)
+	}
+	r.Header.Set("Authorization", "Bearer "+c.token)
+	answer, err := c.client.Do(r)
+	if err != nil {
+		return errors.Wrapf(err, "administrator %s: send", address)
+	}
+	defer func() {
+		_ = answer.Body.Close()
+	}()
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxResponse))
+	if err != nil {
+		return errors.Wrapf(err, "administrator %s: receive", address)
+	}
+	return decode(address, answer.StatusCode, data, response)
+}
+
+func decode(address string, status int, data []byte, response any) error {
+	if status == http.StatusOK {
+		return errors.Wrapf(json.Unmarshal(data, response), "administrator %s: decode", address)
+	}
+	apiErr := &Error{}
+	if err := json.Unmarshal(data, apiErr); err != nil || apiErr.Code == "" {
+		return errors.Newf("administrator %s: status %d: %s", address, status, data)
+	}
+	return apiErr
+}
--- /dev/null
+++ b/pkg/renderer/parameter.go
@@ -0,0 +1,164 @@
+package renderer
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/pkg/parser"
+)
+
+// separator ends the parameters at the head of a template file.
+const separator = "---"
+
+// The kinds of a parameter.
+const (
+	kindText     = "text"
+	kindInteger  = "integer"
+	kindDuration = "duration"
+	kindList     = "list"
+)
+
+// parameter is one declared parameter:
+//
+//	parameter NAME KIND [default=VALUE] [min=VALUE] [max=VALUE]
+type parameter struct {
+	line        int
+	name        string
+	kind        string
+	fallback    string
+	hasFallback bool
+	least       string
+	most        string
+}
+
+// splitTemplate parts a template file into its parameters and its body, and
+// returns the number of lines before the body.
+func splitTemplate(team, text string) ([]parameter, string, int, fireflymoor.Faults) {
+	lines := strings.Split(text, "\n")
+	end := slices.IndexFunc(lines, func(line string) bool {
+		return strings.TrimSpace(line) == separator
+	})
+	if end < 0 {
+		return nil, text, 0, nil
+	}
+	var parameters []parameter
+	var faults fireflymoor.Faults
+	for i, line := range lines[:end] {
+		words := strings.Fields(line)
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
+			continue
+		}
+		p, reason := readParameter(words)
+		p.line = i + 1
+		if reason == "" && slices.ContainsFunc(parameters, func(q parameter) bool { return q.name == p.name }) {
+			reason = "declared twice"
+		}
+		if reason != "" {
+			faults = append(faults, parameterFault(team, p, reason))
+			continue
+		}
+		parameters = append(parameters, p)
+	}
+	return parameters, strings.Join(lines[end+1:], "\n"), end + 1, faults
+}
+
+func parameterFault(team string, p parameter, reason string) fireflymoor.Fault {
+	return fireflymoor.Fault{
+		Step:   "parameters",
+		Team:   team,
+		File:   templateFile,
+		Line:   p.line,
+		Key:    p.name,
+		Reason: reason,
+	}
+}
+
+// readParameter returns the parameter that words declare, or what is wrong.
+func readParameter(words []string) (parameter, string) {
+	const leastWords = 3
+	if words[0] != "parameter" || len(words) < leastWords {
+		return parameter{}, "expected: parameter NAME KIND [default=V] [min=V] [max=V], or --- after the last"
+	}
+	p := parameter{
+		name: words[1],
+		kind: words[2],
+	}
+	if !parser.ValidName(p.name) {
+		return p, "the name is not in kebab case"
+	}
+	if !slices.Contains([]string{kindText, kindInteger, kindDuration, kindList}, p.kind) {
+		return p, "the kind is none of text, integer, duration and list"
+	}
+	for _, word := range words[leastWords:] {
+		key, value, _ := strings.Cut(word, "=")
+		switch key {
+		case "default":
+			p.fallback = value
+			p.hasFallback = true
+		case "min":
+			p.least = value
+		case "max":
+			p.most = value
+		default:
+			return p, fmt.Sprintf("%q is none of default, min and max", key)
+		}
+	}
+	return p, p.checkSelf()
+}
+
+func (p parameter) checkSelf() string {
+	for _, bound := range []string{p.least, p.most} {
+		if bound == "" {
+			continue
+		}
+		if _, reason := p.measure(bound); reason != "" {
+			return reason
+		}
+	}
+	if p.hasFallback {
+		return p.check(p.fallback)
+	}
+	return ""
+}
+
+// check returns what is wrong with a value, or nothing.
+func (p parameter) check(value string) string {
+	size, reason := p.measure(value)
+	if reason != "" {
+		return reason
+	}
+	if least, _ := p.measure(p.least); p.least != "" && size < least {
+		return fmt.Sprintf("%s is less than %s", value, p.least)
+	}
+	if most, _ := p.measure(p.most); p.most != "" && size > most {
+		return fmt.Sprintf("%s is more than %s", value, p.most)
+	}
+	return ""
+}
+
+// measure returns a value's size for its bounds: a number, nanoseconds, or
+// for texts and lists no size at all.
+func (p parameter) measure(value string) (int64, string) {
+	switch p.kind {
+	case kindInteger:
+		n, err := strconv.ParseInt(value, 10, 64)
+		if err != nil {
+			return 0, fmt.Sprintf("%q is no whole number", value)
+		}
+		return n, ""
+	case kindDuration:
+		d, err := time.ParseDuration(value)
+		if err != nil {
+			return 0, fmt.Sprintf("%q is no duration", value)
+		}
+		return int64(d), ""
+	}
+	if strings.ContainsAny(value, "\r\n[]") {
+		return 0, "holds a line break or a bracket"
+	}
+	return 0, ""
+}
--- /dev/null
+++ b/version.go
@@ -0,0 +1,128 @@
+package fireflymoor
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+)
+
+// A Hash is the SHA-256 of a piece of content.
+type Hash [sha256.Size]byte
+
+// HashOf returns the hash of text.
+func HashOf(text string) Hash {
+	return sha256.Sum256([]byte(text))
+}
+
+// HashFrom returns the hash that b holds, and false if it holds none.
+func HashFrom(b []byte) (Hash, bool) {
+	h := Hash{}
+	return h, copy(h[:], b) == len(h) && len(b) == len(h)
+}
+
+// Inputs are a team's template and values, as the operator wrote them.
+type Inputs struct {
+	// Template is the text of the template, with its parameters.
+	Template string
+	// Values is the text of the team's values.
+	Values string
+}
+
+// Rendered is what a template and values give.
+type Rendered struct {
+	// Text is the rendered form.
+	Text string
+	// Configuration is what the text says.
+	Configuration Configuration
+}
+
+// A TeamEntry is one team's share of an accepted version.
+type TeamEntry struct {
+	// Team is the team's name.
+	Team string
+	// Number is the version that last changed the team's share.
+	Number uint64
+	// Template is the hash of the template.
+	Template Hash
+	// Values is the hash of the values.
+	Values Hash
+	// Rendered is the hash of the rendered form.
+	Rendered Hash
+}
+
+// A Manifest names the whole content of one accepted version by hash. It is
+// immutable.
+type Manifest struct {
+	number uint64
+	teams  []TeamEntry
+}
+
+// NewManifest returns a new Manifest of the version number.
+func NewManifest(number uint64, teams []TeamEntry) Manifest {
+	sorted := slices.Clone(teams)
+	slices.SortFunc(sorted, func(a, b TeamEntry) int {
+		return cmp.Compare(a.Team, b.Team)
+	})
+	return Manifest{
+		number: number,
+		teams:  sorted,
+	}
+}
+
+// Number returns the version's number. Zero is the empty version before the
+// first change.
+func (m Manifest) Number() uint64 {
+	return m.number
+}
+
+// Teams returns the entries in the order of the teams' names.
+func (m Manifest) Teams() []TeamEntry {
+	return slices.Clone(m.teams)
+}
+
+// Team returns the entry of the named team, and false if it has none.
+func (m Manifest) Team(name string) (TeamEntry, bool) {
+	i, ok := slices.BinarySearchFunc(m.teams, name, func(e TeamEntry, name string) int {
+		return cmp.Compare(e.Team, name)
+	})
+	if !ok {
+		return TeamEntry{}, false
+	}
+	return m.teams[i], true
+}
+
+// With returns the next version, in which entry replaces the team's earlier
+// one. The entry's number becomes the version's.
+func (m Manifest) With(entry TeamEntry) Manifest {
+	entry.Number = m.number + 1
+	teams := slices.DeleteFunc(m.Teams(), func(e TeamEntry) bool {
+		return e.Team == entry.Team
+	})
+	return NewManifest(entry.Number, append(teams, entry))
+}
+
+// Hash returns the hash of the number and of all entries.
+func (m Manifest) Hash() Hash {
+	b := &bytes.Buffer{}
+	b.Write(binary.BigEndian.AppendUint64(nil, m.number))
+	for _, e := range m.teams {
+		b.Write(binary.BigEndian.AppendUint32(nil, uint32(len(e.Team))))
+		b.WriteString(e.Team)
+		b.Write(binary.BigEndian.AppendUint64(nil, e.Number))
+		b.Write(e.Template[:])
+		b.Write(e.Values[:])
+		b.Write(e.Rendered[:])
+	}
+	return sha256.Sum256(b.Bytes())
+}
+
+// Pieces returns the hashes of all inputs that the version refers to.
+func (m Manifest) Pieces() []Hash {
+	hashes := make([]Hash, 0, 2*len(m.teams))
+	for _, e := range m.teams {
+		hashes = append(hashes, e.Template, e.Values)
+	}
+	return hashes
+}
