Let a call that must not repeat outlive its broken connection

Cause: TestResets ended 43 of 2,048 calls as unknown although the target's node lived. The reset ended the request's context at the target's node, which cancelled the call at the target, so that the question over a new connection found it unknown. Ruled out: lost records (the node's log names each call).

Now the node lets such a call go on for a second without its connection; if it is asked after in that time it runs to its end, and else its caller is taken to have gone.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -18,8 +18,13 @@
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 )
 
-// maxTime bounds a call whose deadline is missing.
-const maxTime = 10 * time.Minute
+const (
+	// maxTime bounds a call whose deadline is missing.
+	maxTime = 10 * time.Minute
+	// askPatience is how long a call whose connection broke may go on
+	// without being asked after.
+	askPatience = time.Second
+)
 
 // A Receiver is the HTTP handler for calls from other nodes.
 type Receiver struct {
@@ -56,11 +61,35 @@
 		Refuse(w, http.StatusServiceUnavailable, fireflymoor.NotRun, err.Error())
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), left)
+	ctx, cancel := r.callContext(request, id, left)
 	defer cancel()
 	r.serve(ctx, w, request, id)
 }
 
+// callContext returns the context of a call's run. A call that must not
+// repeat outlives its connection for a while: if it is asked after over
+// another one it goes on, and else its caller is taken to have gone.
+func (r *Receiver) callContext(request *http.Request, id string, left time.Duration) (context.Context, context.CancelFunc) {
+	if request.Header.Get(labeler.Once) == "" {
+		return context.WithTimeout(request.Context(), left)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(request.Context()), left)
+	stop := context.AfterFunc(request.Context(), func() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(askPatience):
+		}
+		if !r.registrar.Asked(id) {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 func (r *Receiver) serve(ctx context.Context, w http.ResponseWriter, request *http.Request, id string) {
 	state := registrar.Unknown
 	var answer *registrar.Answer
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -55,6 +55,7 @@
 
 type call struct {
 	state  State
+	asked  bool
 	answer *Answer
 	ended  time.Time
 	done   chan struct{}
@@ -123,6 +124,7 @@
 		defer r.lock.Unlock()
 		return r.refuse(id, now), nil
 	}
+	c.asked = true
 	r.lock.Unlock()
 	select {
 	case <-c.done:
@@ -133,6 +135,14 @@
 	return c.state, c.answer
 }
 
+// Asked says whether a running call has been asked after.
+func (r *Registrar) Asked(id string) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	c := r.calls[id]
+	return c != nil && c.asked
+}
+
 // refuse marks a call as revoked, unless calls were forgotten too early to
 // tell.
 func (r *Registrar) refuse(id string, now time.Time) State {
