--- a/cmd/fireflybench/main.go
+++ b/cmd/fireflybench/main.go
@@ -14,7 +14,8 @@
 )
 
 type commands struct {
-	Target targetCommand `cmd:"" help:"Be one stand-in target."`
+	Target  targetCommand  `cmd:"" help:"Be one stand-in target."`
+	Latency latencyCommand `cmd:"" help:"Measure what nodes add to a call, beside a direct call."`
 }
 
 type targetCommand struct {
