--- a/cmd/fireflybench/main.go
+++ b/cmd/fireflybench/main.go
@@ -15,6 +15,7 @@
 
 type commands struct {
 	Target  targetCommand  `cmd:"" help:"Be one stand-in target."`
+	Slopes  slopesCommand  `cmd:"" help:"Measure what control costs each role against the number of nodes and services."`
 	Latency latencyCommand `cmd:"" help:"Measure what nodes add to a call, beside a direct call."`
 }
 
--- /dev/null
+++ b/cmd/fireflybench/slopes.go
@@ -0,0 +1,278 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflymoor/fireflymoor/internal/gauger"
+	"github.com/fireflymoor/fireflymoor/internal/launcher"
+)
+
+// slopesCommand measures the cost of control against the size of the fleet.
+type slopesCommand struct {
+	fleetOptions
+	Nodes    []int         `default:"12,25,50,100,200" help:"Numbers of nodes."`
+	Services int           `default:"3" help:"Number of services in the configuration."`
+	Zones    int           `default:"3" help:"Number of availability zones."`
+	Idle     time.Duration `default:"15s" help:"Time to measure without changes."`
+	Changes  int           `default:"20" help:"Changes to measure, one a second."`
+	Restarts int           `default:"5" help:"Nodes to kill and restart."`
+	Plot     string        `type:"path" help:"File for a plot, as PNG."`
+}
+
+// roleCost is what one process of a role costs on average.
+type roleCost struct {
+	// IdleCore is the share of a core without changes, in percent.
+	IdleCore float64 `json:"idle-core-percent"`
+	// IdleIn and IdleOut are bytes a second without changes.
+	IdleIn  float64 `json:"idle-in-bytes-per-second"`
+	IdleOut float64 `json:"idle-out-bytes-per-second"`
+	// Resident is the resident memory, in MiB.
+	Resident float64 `json:"resident-mib"`
+	// ChangeMilliseconds is the processor time of a change.
+	ChangeMilliseconds float64 `json:"change-processor-ms"`
+	// ChangeIn and ChangeOut are the bytes of a change.
+	ChangeIn  float64 `json:"change-in-bytes"`
+	ChangeOut float64 `json:"change-out-bytes"`
+	// RestartIn and RestartOut are the bytes of one restart of a node.
+	RestartIn  float64 `json:"restart-in-bytes"`
+	RestartOut float64 `json:"restart-out-bytes"`
+	// Kinds are the bytes a second that were sent without changes, by kind.
+	Kinds map[string]float64 `json:"idle-sent-by-kind"`
+}
+
+// sizeResult is what a fleet of one size gave.
+type sizeResult struct {
+	Nodes    int      `json:"nodes"`
+	Services int      `json:"services"`
+	Node     roleCost `json:"node"`
+	Control  roleCost `json:"control"`
+	// Rendered is the size of the rendered form, in bytes.
+	Rendered int `json:"rendered-bytes"`
+	// Convergence is the time from sending a change until it was in force
+	// on the last node, in milliseconds: median, 99th percentile and most.
+	Convergence [3]int64 `json:"convergence-ms"`
+}
+
+const (
+	settle   = 4 * time.Second
+	mebibyte = 1 << 20
+	percent  = 100
+	replicas = 3
+)
+
+// Run runs the command.
+func (c *slopesCommand) Run(ctx context.Context) error {
+	var results []sizeResult
+	for _, nodes := range c.Nodes {
+		result, err := c.measure(ctx, nodes)
+		if err != nil {
+			return err
+		}
+		results = append(results, result)
+		printSizes(results)
+	}
+	printFits(results)
+	if err := writeJSON(c.Output, results); err != nil {
+		return err
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	return plotSizes(c.Plot, results)
+}
+
+func (c *slopesCommand) measure(ctx context.Context, nodes int) (sizeResult, error) {
+	fmt.Fprintf(os.Stderr, "%s: starting %d nodes on %d cores\n", time.Now().Format(time.TimeOnly), nodes, runtime.NumCPU())
+	result := sizeResult{
+		Nodes:    nodes,
+		Services: c.Services,
+	}
+	f, err := startFleet(ctx, c.fleetOptions, fleetShape{
+		zones:    zoneNames(c.Zones),
+		replicas: replicas,
+		nodes:    nodes,
+		services: c.Services,
+		level:    "info",
+	})
+	if err != nil {
+		return result, err
+	}
+	defer f.end(c.Keep)
+	time.Sleep(settle)
+	m := &measurement{
+		fleet:  f,
+		result: &result,
+	}
+	for _, step := range []func(context.Context, *slopesCommand) error{m.idle, m.changes, m.restarts} {
+		if err := step(ctx, c); err != nil {
+			return result, err
+		}
+	}
+	team, err := f.client.Team(ctx, launcher.Team)
+	result.Rendered = len(team.Rendered)
+	return result, err
+}
+
+// measurement is one fleet while it is measured.
+type measurement struct {
+	*fleet
+	result *sizeResult
+}
+
+// window measures what each role uses while work is done, for one process on
+// average.
+func (m *measurement) window(work func() error) (node, control gauger.Usage, err error) {
+	nodesBefore, err := usage(m.nodes)
+	if err != nil {
+		return node, control, err
+	}
+	controlsBefore, err := usage(m.controls)
+	if err != nil {
+		return node, control, err
+	}
+	if err := work(); err != nil {
+		return node, control, err
+	}
+	controlsAfter, err := usage(m.controls)
+	if err != nil {
+		return node, control, err
+	}
+	nodesAfter, err := usage(m.nodes)
+	return mean(nodesBefore, nodesAfter), mean(controlsBefore, controlsAfter), err
+}
+
+// mean returns the average difference of readings. A process that has been
+// restarted between them is left out.
+func mean(before, after []gauger.Usage) gauger.Usage {
+	sum := gauger.Usage{
+		Sent: map[string]float64{},
+	}
+	n := 0
+	for i := range after {
+		if after[i].In < before[i].In {
+			continue
+		}
+		d := after[i].Since(before[i])
+		sum.Processor += d.Processor
+		sum.Resident += d.Resident
+		sum.In += d.In
+		sum.Out += d.Out
+		for kind, bytes := range d.Sent {
+			sum.Sent[kind] += bytes
+		}
+		n++
+	}
+	sum.Processor /= time.Duration(n)
+	sum.Resident /= int64(n)
+	sum.In /= float64(n)
+	sum.Out /= float64(n)
+	for kind := range sum.Sent {
+		sum.Sent[kind] /= float64(n)
+	}
+	return sum
+}
+
+func (m *measurement) idle(_ context.Context, c *slopesCommand) error {
+	node, control, err := m.window(func() error {
+		time.Sleep(c.Idle)
+		return nil
+	})
+	fill := func(cost *roleCost, u gauger.Usage) {
+		seconds := c.Idle.Seconds()
+		cost.IdleCore = u.Processor.Seconds() / seconds * percent
+		cost.IdleIn = u.In / seconds
+		cost.IdleOut = u.Out / seconds
+		cost.Resident = float64(u.Resident) / mebibyte
+		cost.Kinds = map[string]float64{}
+		for kind, bytes := range u.Sent {
+			cost.Kinds[kind] = bytes / seconds
+		}
+	}
+	fill(&m.result.Node, node)
+	fill(&m.result.Control, control)
+	return err
+}
+
+func (m *measurement) changes(ctx context.Context, c *slopesCommand) error {
+	sent := map[uint64]time.Time{}
+	took := time.Duration(0)
+	node, control, err := m.window(func() error {
+		began := time.Now()
+		for i := range c.Changes {
+			time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second)))
+			at := time.Now()
+			if err := m.accept(ctx, c.Services, uint64(2001+i)); err != nil {
+				return err
+			}
+			sent[m.version] = at
+		}
+		err := m.untilInForce(ctx)
+		took = time.Since(began)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	fill := func(cost *roleCost, u gauger.Usage) {
+		changes := float64(c.Changes)
+		idle := cost.IdleCore / percent * took.Seconds()
+		cost.ChangeMilliseconds = (u.Processor.Seconds() - idle) / changes * 1000
+		cost.ChangeIn = (u.In - cost.IdleIn*took.Seconds()) / changes
+		cost.ChangeOut = (u.Out - cost.IdleOut*took.Seconds()) / changes
+	}
+	fill(&m.result.Node, node)
+	fill(&m.result.Control, control)
+	m.result.Convergence, err = convergence(m.nodes, sent)
+	return err
+}
+
+func (m *measurement) restarts(ctx context.Context, c *slopesCommand) error {
+	began := time.Now()
+	node, control, err := m.window(func() error {
+		for i := range min(c.Restarts, len(m.nodes)) {
+			m.nodes[i].Kill()
+		}
+		for i := range min(c.Restarts, len(m.nodes)) {
+			if err := m.Restart(m.nodes[i]); err != nil {
+				return err
+			}
+		}
+		if err := m.untilInForce(ctx); err != nil {
+			return err
+		}
+		time.Sleep(settle)
+		return nil
+	})
+	took := time.Since(began).Seconds()
+	fill := func(cost *roleCost, u gauger.Usage) {
+		cost.RestartIn = (u.In - cost.IdleIn*took) / float64(c.Restarts)
+		cost.RestartOut = (u.Out - cost.IdleOut*took) / float64(c.Restarts)
+	}
+	fill(&m.result.Node, node)
+	fill(&m.result.Control, control)
+	return errors.Wrap(err, "slopes: restarts")
+}
+
+func printSizes(results []sizeResult) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "NODES\tSERVICES\tROLE\tIDLE CORE %\tIDLE IN B/s\tIDLE OUT B/s\tMiB\tCHANGE ms\tCHANGE IN B\tCHANGE OUT B\tRESTART IN B\tCONVERGED ms (p50 p99 max)")
+	for _, r := range results {
+		for _, role := range []struct {
+			name string
+			cost roleCost
+		}{{name: "node", cost: r.Node}, {name: "control", cost: r.Control}} {
+			fmt.Fprintf(w, "%d\t%d\t%s\t%.2f\t%.0f\t%.0f\t%.1f\t%.2f\t%.0f\t%.0f\t%.0f\t%v\n",
+				r.Nodes, r.Services, role.name, role.cost.IdleCore, role.cost.IdleIn, role.cost.IdleOut,
+				role.cost.Resident, role.cost.ChangeMilliseconds, role.cost.ChangeIn, role.cost.ChangeOut,
+				role.cost.RestartIn, r.Convergence)
+		}
+	}
+	_ = w.Flush()
+}
--- a/cmd/fireflymoor/main.go
+++ b/cmd/fireflymoor/main.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/loader"
@@ -30,6 +32,7 @@
 var errLate = errors.New("the deadline passed before the version was in force everywhere")
 
 type commands struct {
+	Demo     demoCommand     `cmd:"" help:"Run every role in one process, with sample targets."`
 	Control  controlCommand  `cmd:"" help:"Run a control replica."`
 	Node     nodeCommand     `cmd:"" help:"Run a node."`
 	Check    checkCommand    `cmd:"" help:"Check settings without starting anything."`
@@ -72,18 +75,18 @@
 	if settings.Role != role {
 		return errors.Newf("settings: the role is %s, and the command is %s", settings.Role, role)
 	}
-	process, err := newProcess(settings)
+	process, err := newProcess(settings, os.Stdout)
 	if err != nil {
 		return err
 	}
 	return process.Run(ctx)
 }
 
-func newProcess(settings loader.Settings) (fireflymoor.Process, error) {
+func newProcess(settings loader.Settings, out io.Writer) (fireflymoor.Process, error) {
 	if settings.Role == loader.RoleControl {
-		return runner.NewControl(settings, os.Stdout)
+		return runner.NewControl(settings, out)
 	}
-	return runner.NewNode(settings, os.Stdout)
+	return runner.NewNode(settings, out)
 }
 
 type checkCommand struct {
@@ -133,7 +136,11 @@
 	return exitFailure
 }
 
+// logTime is RFC 3339 with milliseconds.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 func main() {
+	zerolog.TimeFieldFormat = logTime
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	parsed := kong.Parse(&commands{},
