Hear only ring successors often, and work the ring out once a change

Cause: every link carried a heartbeat each 0.4 s although only the link to the ring successor need find silence soon, and the neighbours were sorted anew ten times a second. Now both ends of a link take the shorter of their wishes: 0.4 s to the successor, 1.6 s elsewhere; digest and rings are kept up to date.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -27,6 +27,11 @@
 type Announcer struct {
 	self  string
 	facts map[string]*held
+	// digest sums up the facts of live members, and is kept up to date.
+	digest []uint64
+	// rings and neighbours are worked out once after each change.
+	rings      map[string][]*messenger.Fact
+	neighbours []*messenger.Fact
 }
 
 type held struct {
@@ -37,18 +42,40 @@
 // New returns a new Announcer for the process that own describes.
 func New(own *messenger.Fact, now time.Time) *Announcer {
 	a := &Announcer{
-		self:  own.GetName(),
-		facts: map[string]*held{},
+		self:   own.GetName(),
+		facts:  map[string]*held{},
+		digest: make([]uint64, Buckets),
 	}
 	a.put(own, now)
 	return a
 }
 
 func (a *Announcer) put(fact *messenger.Fact, now time.Time) {
+	a.drop(fact.GetName())
 	a.facts[fact.GetName()] = &held{
 		fact:    fact,
 		changed: now,
 	}
+	a.sum(fact)
+}
+
+// drop forgets a fact and all that was worked out from it.
+func (a *Announcer) drop(name string) {
+	a.rings = map[string][]*messenger.Fact{}
+	a.neighbours = nil
+	if old := a.facts[name]; old != nil {
+		a.sum(old.fact)
+		delete(a.facts, name)
+	}
+}
+
+// sum adds a live member's fact to the digest, or takes it out again.
+func (a *Announcer) sum(fact *messenger.Fact) {
+	if fact.GetState() != messenger.MemberState_MEMBER_ALIVE {
+		return
+	}
+	key := fmt.Sprintf("%s %d %d", fact.GetName(), fact.GetBoot(), fact.GetSequence())
+	a.digest[bucketOf(fact.GetName())] ^= xxhash.Sum64String(key)
 }
 
 // Self returns this process's own fact.
@@ -171,7 +198,7 @@
 	for name, h := range a.facts {
 		gone := h.fact.GetState() != messenger.MemberState_MEMBER_ALIVE
 		if gone && name != a.self && now.Sub(h.changed) > tombstoneLife {
-			delete(a.facts, name)
+			a.drop(name)
 		}
 	}
 }
@@ -217,14 +244,7 @@
 
 // Digest sums up the facts of members that are alive, bucket by bucket.
 func (a *Announcer) Digest() []uint64 {
-	buckets := make([]uint64, Buckets)
-	for name, h := range a.facts {
-		if h.fact.GetState() == messenger.MemberState_MEMBER_ALIVE {
-			k := fmt.Sprintf("%s %d %d", name, h.fact.GetBoot(), h.fact.GetSequence())
-			buckets[bucketOf(name)] ^= xxhash.Sum64String(k)
-		}
-	}
-	return buckets
+	return slices.Clone(a.digest)
 }
 
 // Total sums up all buckets.
@@ -239,7 +259,7 @@
 // Differing returns the buckets in which the facts differ from a digest.
 func (a *Announcer) Differing(digest []uint64) []uint32 {
 	var buckets []uint32
-	for i, own := range a.Digest() {
+	for i, own := range a.digest {
 		if i >= len(digest) || digest[i] != own {
 			buckets = append(buckets, uint32(i))
 		}
--- /dev/null
+++ b/internal/announcer/announcer_test.go
@@ -0,0 +1,172 @@
+package announcer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+)
+
+var start = time.Unix(1, 0)
+
+func fact(name string, boot, sequence uint64) *messenger.Fact {
+	return &messenger.Fact{
+		Name:     name,
+		Zone:     "zone-" + name[:1],
+		Boot:     boot,
+		Sequence: sequence,
+	}
+}
+
+// TestMergeIsOrderFree gives the same facts to two processes in different
+// orders, some twice. Both come to the same digest.
+func TestMergeIsOrderFree(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	var facts []*messenger.Fact
+	for i := range 40 {
+		for boot := range uint64(3) {
+			for sequence := range uint64(3) {
+				f := fact(fmt.Sprintf("a%d", i), boot+1, sequence+1)
+				facts = append(facts, f)
+				if sequence == 1 {
+					suspect := proto.CloneOf(f)
+					suspect.State = messenger.MemberState_MEMBER_SUSPECT
+					facts = append(facts, suspect, f)
+				}
+			}
+		}
+	}
+	var digests [2][]uint64
+	for i := range digests {
+		a := New(fact("b", 1, 1), start)
+		random.Shuffle(len(facts), func(i, j int) { facts[i], facts[j] = facts[j], facts[i] })
+		for _, f := range facts {
+			a.Merge(f, start)
+		}
+		digests[i] = a.Digest()
+	}
+	is.Equal(digests[0], digests[1])
+}
+
+// TestRefutation has a process answer a suspicion, and a fact of an earlier
+// boot under its name, with a newer fact of its own.
+func TestRefutation(t *testing.T) {
+	is := is.New(t)
+	a := New(fact("a", 5, 1), start)
+	suspect := proto.CloneOf(a.Self())
+	suspect.State = messenger.MemberState_MEMBER_SUSPECT
+	news := a.Merge(suspect, start)
+	is.Equal(news.GetSequence(), uint64(2))
+	is.Equal(news.GetState(), messenger.MemberState_MEMBER_ALIVE)
+	news = a.Merge(fact("a", 9, 4), start)
+	is.Equal(news.GetBoot(), uint64(10)) // the clock went back: the boot goes past
+}
+
+// TestSuspicionOfAnEarlierBoot is not taken for one of the present boot.
+func TestSuspicionOfAnEarlierBoot(t *testing.T) {
+	is := is.New(t)
+	a := New(fact("a", 1, 1), start)
+	a.Merge(fact("b", 1, 1), start)
+	a.Merge(fact("b", 2, 1), start)
+	is.True(a.Suspect("b", 1, start) == nil)
+	is.True(a.Suspect("b", 2, start) != nil)
+}
+
+// TestAntiEntropy closes the gaps between two processes that have missed
+// different facts, by digest, keys and facts.
+func TestAntiEntropy(t *testing.T) {
+	is := is.New(t)
+	a, b := New(fact("a", 1, 1), start), New(fact("b", 1, 1), start)
+	for i := range 300 {
+		to := a
+		if i%3 == 0 {
+			to = b
+		}
+		to.Merge(fact(fmt.Sprintf("c%d", i), 1, uint64(i)+1), start)
+	}
+	buckets := b.Differing(a.Digest())
+	for _, f := range b.Newer(buckets, a.Keys(buckets)) {
+		a.Merge(f, start)
+	}
+	for _, f := range a.Newer(buckets, b.Keys(buckets)) {
+		b.Merge(f, start)
+	}
+	is.Equal(len(a.Differing(b.Digest())), 0)
+	is.Equal(len(a.Facts()), 302)
+}
+
+// TestRingIsConnected follows the neighbours' links from one member of a
+// large system and reaches all others, in few steps and with few links.
+func TestRingIsConnected(t *testing.T) {
+	is := is.New(t)
+	var facts []*messenger.Fact
+	for i := range 600 {
+		facts = append(facts, fact(fmt.Sprintf("%c-%d", 'a'+i%6, i), 1, 1))
+	}
+	links := map[string][]string{}
+	for _, self := range facts {
+		a := New(self, start)
+		for _, f := range facts {
+			a.Merge(f, start)
+		}
+		for _, n := range a.Neighbours() {
+			links[self.GetName()] = append(links[self.GetName()], n.GetName())
+			links[n.GetName()] = append(links[n.GetName()], self.GetName())
+		}
+	}
+	most := 0
+	for _, l := range links {
+		most = max(most, len(l))
+	}
+	reached := map[string]int{"a-0": 0}
+	frontier := []string{"a-0"}
+	for len(frontier) > 0 {
+		name := frontier[0]
+		frontier = frontier[1:]
+		for _, n := range links[name] {
+			if _, ok := reached[n]; !ok {
+				reached[n] = reached[name] + 1
+				frontier = append(frontier, n)
+			}
+		}
+	}
+	farthest := 0
+	for _, steps := range reached {
+		farthest = max(farthest, steps)
+	}
+	t.Logf("farthest %d steps, most links %d", farthest, most)
+	is.Equal(len(reached), 600)
+	is.True(farthest <= 12)
+	is.True(most <= 24)
+}
+
+func BenchmarkNeighbours(b *testing.B) {
+	a := New(fact("a-0", 1, 1), start)
+	for i := range 2300 {
+		a.Merge(fact(fmt.Sprintf("%c-%d", 'a'+i%6, i+1), 1, 1), start)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		a.Neighbours()
+	}
+}
+
+func BenchmarkMergeOne(b *testing.B) {
+	a := New(fact("a-0", 1, 1), start)
+	for i := range 2300 {
+		a.Merge(fact(fmt.Sprintf("%c-%d", 'a'+i%6, i+1), 1, 1), start)
+	}
+	b.ReportAllocs()
+	sequence := uint64(1)
+	for b.Loop() {
+		sequence++
+		a.Merge(fact("c-2", 1, sequence), start)
+		a.Neighbours()
+	}
+}
--- a/internal/announcer/ring.go
+++ b/internal/announcer/ring.go
@@ -23,6 +23,15 @@
 
 // ring returns the members of a zone that are alive, in ring order.
 func (a *Announcer) ring(zone string) []*messenger.Fact {
+	members, ok := a.rings[zone]
+	if !ok {
+		members = a.makeRing(zone)
+		a.rings[zone] = members
+	}
+	return members
+}
+
+func (a *Announcer) makeRing(zone string) []*messenger.Fact {
 	var members []*messenger.Fact
 	for _, h := range a.facts {
 		alive := h.fact.GetState() == messenger.MemberState_MEMBER_ALIVE
@@ -60,6 +69,25 @@
 // Neighbours returns the members that this process keeps links to: ring
 // successors at growing distance in its zone, and a few in other zones.
 func (a *Announcer) Neighbours() []*messenger.Fact {
+	if a.neighbours == nil {
+		a.neighbours = a.makeNeighbours()
+	}
+	return a.neighbours
+}
+
+// Successor returns the next member of the zone's ring, or nil. The link to
+// it is the one that finds the silence of either end soonest.
+func (a *Announcer) Successor() *messenger.Fact {
+	own := a.ring(a.Self().GetZone())
+	for i, f := range own {
+		if f.GetName() == a.self && len(own) > 1 {
+			return own[(i+1)%len(own)]
+		}
+	}
+	return nil
+}
+
+func (a *Announcer) makeNeighbours() []*messenger.Fact {
 	own := a.ring(a.Self().GetZone())
 	at := slices.IndexFunc(own, func(f *messenger.Fact) bool {
 		return f.GetName() == a.self
@@ -90,9 +118,13 @@
 
 // Suspects returns the members that are not heard.
 func (a *Announcer) Suspects() []*messenger.Fact {
-	return slices.DeleteFunc(a.Facts(), func(f *messenger.Fact) bool {
-		return f.GetState() != messenger.MemberState_MEMBER_SUSPECT
-	})
+	var suspects []*messenger.Fact
+	for _, h := range a.facts {
+		if h.fact.GetState() == messenger.MemberState_MEMBER_SUSPECT {
+			suspects = append(suspects, h.fact)
+		}
+	}
+	return suspects
 }
 
 // Reporters returns the nodes that gather what the nodes of a zone hold.
@@ -103,7 +135,7 @@
 
 // ZoneNodes returns the live nodes of a zone, control replicas left out.
 func (a *Announcer) ZoneNodes(zone string) []*messenger.Fact {
-	return slices.DeleteFunc(a.ring(zone), func(f *messenger.Fact) bool {
+	return slices.DeleteFunc(slices.Clone(a.ring(zone)), func(f *messenger.Fact) bool {
 		return f.GetControl()
 	})
 }
--- a/internal/coordinator/keep.go
+++ b/internal/coordinator/keep.go
@@ -59,6 +59,7 @@
 			c.dial(f)
 		}
 	}
+	c.pace()
 	for name, link := range c.links {
 		p := c.peer(name)
 		if !link.Dialed() || wanted[name] {
@@ -74,6 +75,19 @@
 	}
 }
 
+// pace has the ring successor heard often, so that the silence of either is
+// found soon, and all others seldom.
+func (c *Coordinator) pace() {
+	successor := c.announcer.Successor().GetName()
+	for name, link := range c.links {
+		if name == successor {
+			link.Wish(neighbour.FastHeartbeat)
+			continue
+		}
+		link.Wish(neighbour.SlowHeartbeat)
+	}
+}
+
 // dial opens a link to a member, unless one is being opened or the last
 // failure is too recent.
 func (c *Coordinator) dial(fact *messenger.Fact) {
--- a/internal/neighbour/link.go
+++ b/internal/neighbour/link.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,10 +15,15 @@
 )
 
 const (
-	// heartbeatInterval is the time between heartbeats on a link.
-	heartbeatInterval = 400 * time.Millisecond
-	// silenceTimeout is how long a link may be silent before it is closed.
+	// FastHeartbeat is the time between heartbeats on the links that are to
+	// find silent members soon.
+	FastHeartbeat = 400 * time.Millisecond
+	// SlowHeartbeat is the time between heartbeats on all other links.
+	SlowHeartbeat = 1600 * time.Millisecond
+	// silenceTimeout is how long a link with fast heartbeats may be silent
+	// before it is closed; others in proportion.
 	silenceTimeout = 1500 * time.Millisecond
+	slowSilence    = silenceTimeout * SlowHeartbeat / FastHeartbeat
 	// helloTimeout bounds the opening of a link.
 	helloTimeout = 700 * time.Millisecond
 	// queueLength is the number of frames that may wait on a link.
@@ -63,6 +69,9 @@
 	dialed bool
 	queue  chan *messenger.Frame
 	cancel context.CancelCauseFunc
+	wish   atomic.Int64
+	asked  atomic.Int64
+	repace chan struct{}
 }
 
 // Peer returns the neighbour's fact as of the link's opening.
@@ -90,6 +99,43 @@
 	}
 }
 
+// Wish sets how often this process wishes to hear the neighbour. The shorter
+// of both ends' wishes holds for both.
+func (l *Link) Wish(interval time.Duration) {
+	if l.wish.Swap(int64(interval)) == int64(interval) {
+		return
+	}
+	l.wake()
+}
+
+// wake has the pace looked at anew.
+func (l *Link) wake() {
+	select {
+	case l.repace <- struct{}{}:
+	default:
+	}
+}
+
+// interval returns the time between this end's heartbeats.
+func (l *Link) interval() time.Duration {
+	return time.Duration(min(l.wish.Load(), l.asked.Load()))
+}
+
+// hear takes the pace of the neighbour's heartbeat, and returns how long the
+// link may now be silent.
+func (l *Link) hear(heartbeat *messenger.Heartbeat) time.Duration {
+	wish := time.Duration(heartbeat.GetWishMilliseconds()) * time.Millisecond
+	if wish < FastHeartbeat || wish > SlowHeartbeat {
+		wish = SlowHeartbeat
+	}
+	if l.asked.Swap(int64(wish)) > int64(wish) {
+		l.wake()
+	}
+	next := time.Duration(heartbeat.GetIntervalMilliseconds()) * time.Millisecond
+	next = min(max(next, FastHeartbeat), SlowHeartbeat)
+	return silenceTimeout * next / FastHeartbeat
+}
+
 // Close ends the link.
 func (l *Link) Close(reason error) {
 	l.cancel(reason)
@@ -97,7 +143,7 @@
 
 // run carries frames until ctx ends, and returns why it ended.
 func (l *Link) run(ctx context.Context, s stream, handler Handler, count *counter.Counter) error {
-	silence := time.AfterFunc(silenceTimeout, func() {
+	silence := time.AfterFunc(slowSilence, func() {
 		l.cancel(ErrSilent)
 	})
 	defer silence.Stop()
@@ -111,23 +157,27 @@
 }
 
 func (l *Link) receive(s stream, handler Handler, silence *time.Timer) {
+	patience := slowSilence
 	for {
 		frame, err := s.Recv()
 		if err != nil {
 			l.cancel(errors.Wrapf(err, "neighbour %s: receive", l.Peer().GetName()))
 			return
 		}
-		silence.Reset(silenceTimeout)
+		if heartbeat := frame.GetHeartbeat(); heartbeat != nil {
+			patience = l.hear(heartbeat)
+		}
+		silence.Reset(patience)
 		handler.Frame(l, frame)
 	}
 }
 
 // transmit sends queued frames. A heartbeat that is due goes before them.
 func (l *Link) transmit(ctx context.Context, s stream, handler Handler, count *counter.Counter) {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		frame := l.next(ctx, ticker.C, handler)
+		frame := l.next(ctx, timer, handler)
 		if frame == nil {
 			return
 		}
@@ -139,26 +189,36 @@
 	}
 }
 
-func (l *Link) next(ctx context.Context, due <-chan time.Time, handler Handler) *messenger.Frame {
+func (l *Link) next(ctx context.Context, timer *time.Timer, handler Handler) *messenger.Frame {
 	select {
-	case <-due:
-		return heartbeatFrame(handler)
+	case <-timer.C:
+		return l.heartbeat(timer, handler)
+	case <-l.repace:
+		return l.heartbeat(timer, handler)
 	default:
 	}
 	select {
 	case <-ctx.Done():
 		return nil
-	case <-due:
-		return heartbeatFrame(handler)
+	case <-timer.C:
+		return l.heartbeat(timer, handler)
+	case <-l.repace:
+		return l.heartbeat(timer, handler)
 	case frame := <-l.queue:
 		return frame
 	}
 }
 
-func heartbeatFrame(handler Handler) *messenger.Frame {
+// heartbeat returns the heartbeat that is due, and sets when the next one is.
+func (l *Link) heartbeat(timer *time.Timer, handler Handler) *messenger.Frame {
+	interval := l.interval()
+	timer.Reset(interval)
+	heartbeat := proto.CloneOf(handler.Heartbeat())
+	heartbeat.IntervalMilliseconds = uint32(interval.Milliseconds())
+	heartbeat.WishMilliseconds = uint32(time.Duration(l.wish.Load()).Milliseconds())
 	return &messenger.Frame{
 		Body: &messenger.Frame_Heartbeat{
-			Heartbeat: handler.Heartbeat(),
+			Heartbeat: heartbeat,
 		},
 	}
 }
--- a/internal/neighbour/linker.go
+++ b/internal/neighbour/linker.go
@@ -134,11 +134,15 @@
 }
 
 func newLink(cancel context.CancelCauseFunc, dialed bool) *Link {
-	return &Link{
+	l := &Link{
 		queue:  make(chan *messenger.Frame, queueLength),
 		cancel: cancel,
 		dialed: dialed,
+		repace: make(chan struct{}, 1),
 	}
+	l.wish.Store(int64(SlowHeartbeat))
+	l.asked.Store(int64(SlowHeartbeat))
+	return l
 }
 
 func (l *Link) receiveHello(s stream) error {
