Pass pieces on as they came, and sum a zone up once a change

Every node packed every piece anew, and two reporters a zone sent sums that named nodes still on their way.

Now only the source packs a piece; others pass on what they got. One reporter a zone sends a sum, when all hold the version or a second has passed.

--- a/internal/announcer/ring.go
+++ b/internal/announcer/ring.go
@@ -127,7 +127,8 @@
 	return suspects
 }
 
-// Reporters returns the nodes that gather what the nodes of a zone hold.
+// Reporters returns the nodes that gather what the nodes of a zone hold. The
+// first tells the control replicas; the next is ready to take its place.
 func (a *Announcer) Reporters(zone string) []*messenger.Fact {
 	nodes := a.ZoneNodes(zone)
 	return nodes[:min(reporters, len(nodes))]
--- a/internal/compressor/compressor.go
+++ b/internal/compressor/compressor.go
@@ -39,6 +39,7 @@
 func Unpack(packed []byte, base string) (string, error) {
 	options := []zstd.DOption{
 		zstd.WithDecoderConcurrency(1),
+		zstd.WithDecoderLowmem(true),
 		zstd.WithDecoderMaxMemory(maxUnpacked),
 	}
 	if base != "" {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"time"
 
@@ -58,6 +57,8 @@
 	Random *rand.Rand
 	// Log has the part's prefix.
 	Log zerolog.Logger
+	// Exit ends the process at once.
+	Exit func(status int)
 	// Accepted is told on the sequencer of each newly applied version.
 	Accepted func(manifest fireflymoor.Manifest, pieces []string)
 }
@@ -126,7 +127,7 @@
 	if effects.Save != nil {
 		if err := c.options.Keeper.Save(*effects.Save); err != nil {
 			c.options.Log.Error().Err(err).Msg("control: the disk failed")
-			os.Exit(exitDisk)
+			c.options.Exit(exitDisk)
 		}
 	}
 	for _, m := range effects.Messages {
@@ -135,7 +136,7 @@
 	if effects.Restore != nil {
 		if err := c.restore(effects.Restore); err != nil {
 			c.options.Log.Error().Err(err).Msg("control: the snapshot is unreadable")
-			os.Exit(exitDisk)
+			c.options.Exit(exitDisk)
 		}
 		c.accepted()
 	}
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -38,7 +38,9 @@
 	manifest fireflymoor.Manifest
 	pieces   map[fireflymoor.Hash]string
 	previous map[fireflymoor.Hash]string
-	packed   map[packKey][]byte
+	// packed are pieces as they travel. Those that came packed are passed on
+	// as they are, so that only the source packs.
+	packed map[packKey][]byte
 
 	heads   map[string]*messenger.Head
 	wanted  *fireflymoor.Manifest
@@ -272,9 +274,12 @@
 	}
 	d.asked = ""
 	got := map[fireflymoor.Hash]string{}
+	packed := map[packKey][]byte{}
 	for _, p := range answer.GetPieces() {
 		if content, hash, ok := d.unpack(p); ok {
 			got[hash] = content
+			base, _ := fireflymoor.HashFrom(p.GetBase())
+			packed[packKey{hash: hash, base: base}] = p.GetContent()
 		}
 	}
 	if !d.complete(got) {
@@ -283,6 +288,7 @@
 		return d.take()
 	}
 	d.store(*d.wanted, got)
+	d.packed = packed
 	d.chase(now)
 	return d.take()
 }
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -16,6 +16,9 @@
 	repeat = 15 * time.Second
 	// zoneRepeat is how often an unchanged sum is sent again.
 	zoneRepeat = 5 * time.Second
+	// patience is how long a version may be on its way before a sum names
+	// those that lack it, so that a change that goes well costs one sum.
+	patience = time.Second
 	// namedLaggards bounds the nodes that a sum names.
 	namedLaggards = 16
 )
@@ -26,6 +29,9 @@
 	zone string
 	name string
 
+	number   uint64
+	numberAt time.Time
+
 	told   *messenger.HeldReport
 	toldTo []string
 	toldAt time.Time
@@ -71,6 +77,13 @@
 // Sum returns the sum over the zone's live nodes, or nil if it is not due.
 func (r *Reporter) Sum(number uint64, nodes []*messenger.Fact, now time.Time) *messenger.ZoneReport {
 	sum := r.add(number, nodes)
+	if number != r.number {
+		r.number = number
+		r.numberAt = now
+	}
+	if sum.GetHolding() < sum.GetNodes() && now.Sub(r.numberAt) < patience {
+		return nil
+	}
 	same := r.sum != nil &&
 		r.sum.GetNumber() == sum.GetNumber() &&
 		r.sum.GetNodes() == sum.GetNodes() &&
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -107,6 +107,7 @@
 		Asserter:  c.asserter,
 		Random:    c.random,
 		Log:       c.log,
+		Exit:      func(status int) { exit(c.lines, status) },
 		Accepted: func(manifest fireflymoor.Manifest, pieces []string) {
 			c.coordinator.Apply(c.coordinator.Distributor().Adopt(manifest, pieces))
 		},
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/fireflymoor/fireflymoor/internal/asserter"
@@ -30,6 +32,9 @@
 	headTimeout = 5 * time.Second
 	idleTimeout = time.Minute
 	maxHead     = 64 << 10
+	// logLines is the number of log lines that may wait to be written. Calls
+	// do not wait for the log.
+	logLines = 8192
 	// shutdownTimeout bounds the wait for calls in flight at the end.
 	shutdownTimeout = 30 * time.Second
 )
@@ -49,18 +54,20 @@
 	random      *rand.Rand
 	boot        uint64
 	listeners   map[string]net.Listener
+	lines       io.Closer
 }
 
 // newMember returns a member that listens on the addresses.
 func newMember(settings loader.Settings, out io.Writer, addresses ...string) (*member, error) {
-	log := zerolog.New(out).Level(settings.Level).With().
+	lines := diode.NewWriter(out, logLines, 0, func(int) {})
+	log := zerolog.New(lines).Level(settings.Level).With().
 		Timestamp().Str("process", settings.Name).Logger()
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
-	var options []asserter.Option
+	options := []asserter.Option{asserter.WithExit(func(status int) { exit(lines, status) })}
 	if settings.CountViolations {
 		options = append(options, asserter.WithCountOnly())
 	}
@@ -75,6 +82,7 @@
 		random:    rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 		boot:      uint64(now.UnixNano()),
 		listeners: map[string]net.Listener{},
+		lines:     lines,
 	}
 	m.dialer = dialer.New(settings.Overlay, m.counter)
 	m.client = neighbour.NewClient(m.dialer)
@@ -98,6 +106,13 @@
 	for _, l := range m.listeners {
 		_ = l.Close()
 	}
+	_ = m.lines.Close()
+}
+
+// exit ends the process at once, after its log is written.
+func exit(lines io.Closer, status int) {
+	_ = lines.Close()
+	os.Exit(status)
 }
 
 // join makes the coordinator for the process's own fact.
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -310,7 +310,7 @@
 	for _, f := range n.reporter.Tell(report, reporters, now) {
 		n.tell(ctx, f, report)
 	}
-	if !includes(reporters, n.settings.Name) {
+	if len(reporters) == 0 || reporters[0].GetName() != n.settings.Name {
 		return
 	}
 	number := n.coordinator.Distributor().Manifest().Number()
@@ -351,12 +351,3 @@
 		n.log.Debug().Str("address", address).Err(err).Msg("report: not sent")
 	}
 }
-
-func includes(facts []*messenger.Fact, name string) bool {
-	for _, f := range facts {
-		if f.GetName() == name {
-			return true
-		}
-	}
-	return false
-}
