Say goodbye on links that are not wanted any more

Cause: when a member closed a link it no longer needed, the other end took the end of the link for a failure, dialed to see whether the member lived, and so opened a link that was closed again five seconds later, without end. First try: a Goodbye frame alone. It did not help: the receiver's answer came back as the stream's error before the sender's own close, so the sender dialed. Now an end that has closed a link keeps its own reason whatever it hears.

Ruled out: false suspicions (few in the logs), anti-entropy (the digests came from the new links themselves).

--- /dev/null
+++ b/internal/balancer/balancer_test.go
@@ -0,0 +1,92 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflymoor/fireflymoor"
+)
+
+func candidate(id string, load float64, weight float64, local bool) fireflymoor.Candidate {
+	return fireflymoor.Candidate{
+		Target: fireflymoor.Target{
+			ID:    id,
+			Slots: 20,
+		},
+		Load:   load,
+		Weight: weight,
+		Local:  local,
+	}
+}
+
+// TestTwoChoices has the cases of a pick, each with the targets that may be
+// picked.
+func TestTwoChoices(t *testing.T) {
+	cases := []struct {
+		name       string
+		candidates []fireflymoor.Candidate
+		allowed    string
+	}{
+		{
+			name: "none",
+		},
+		{
+			name:       "the only one, however loaded",
+			candidates: []fireflymoor.Candidate{candidate("a", 9, 1, false)},
+			allowed:    "a",
+		},
+		{
+			name: "the zone before others",
+			candidates: []fireflymoor.Candidate{
+				candidate("a", 0.9, 1, true), candidate("b", 0, 1, false), candidate("c", 0, 1, false),
+			},
+			allowed: "a",
+		},
+		{
+			name: "others when the zone is full",
+			candidates: []fireflymoor.Candidate{
+				candidate("a", 1.2, 1, true), candidate("b", 0.1, 1, false), candidate("c", 0.2, 1, false),
+			},
+			allowed: "b",
+		},
+		{
+			name: "the zone when others are fuller",
+			candidates: []fireflymoor.Candidate{
+				candidate("a", 1.2, 1, true), candidate("b", 2, 1, false),
+			},
+			allowed: "a",
+		},
+		{
+			name: "the warm one of two with like load",
+			candidates: []fireflymoor.Candidate{
+				candidate("a", 0.2, 0.1, true), candidate("b", 0.2, 1, true),
+			},
+			allowed: "b",
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			for range 50 {
+				pick, ok := NewTwoChoices().Pick(c.candidates, time.Time{})
+				is.Equal(ok, c.allowed != "")
+				is.Equal(pick.Target.ID, c.allowed)
+			}
+		})
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	var candidates []fireflymoor.Candidate
+	for i := range 21 {
+		candidates = append(candidates, candidate(fmt.Sprint(i), 0.5, 1, i%6 == 0))
+	}
+	balancer := NewTwoChoices()
+	b.ReportAllocs()
+	for b.Loop() {
+		balancer.Pick(candidates, time.Time{})
+	}
+}
--- a/internal/coordinator/handler.go
+++ b/internal/coordinator/handler.go
@@ -283,5 +283,7 @@
 		c.suspect(link.Peer(), now)
 		return
 	}
-	c.dial(link.Peer())
+	if c.announcer.Fact(name).GetState() != messenger.MemberState_MEMBER_LEFT {
+		c.dial(link.Peer())
+	}
 }
--- a/internal/coordinator/keep.go
+++ b/internal/coordinator/keep.go
@@ -70,6 +70,7 @@
 			p.unwantedAt = now
 		}
 		if now.Sub(p.unwantedAt) > unwantedLife {
+			p.unwantedAt = now
 			link.Close(neighbour.ErrUnwanted)
 		}
 	}
--- /dev/null
+++ b/internal/ejector/ejector_test.go
@@ -0,0 +1,39 @@
+package ejector
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflymoor/fireflymoor"
+)
+
+// TestEjection passes over a target that fails, for longer each time, and
+// never over more than the share.
+func TestEjection(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1, 0)
+	var targets []fireflymoor.Target
+	for i := range 10 {
+		targets = append(targets, fireflymoor.Target{ID: fmt.Sprint(i)})
+	}
+	e := New()
+	for range failuresToEject {
+		e.Failed("0", now)
+	}
+	is.Equal(len(e.Keep(targets, 30, now)), 9)
+	is.Equal(len(e.Keep(targets, 30, now.Add(firstEjection))), 10)
+	e.Failed("0", now.Add(firstEjection))
+	is.Equal(len(e.Keep(targets, 30, now.Add(2*firstEjection))), 9) // twice as long
+	for i := range 10 {
+		for range failuresToEject {
+			e.Failed(fmt.Sprint(i), now)
+		}
+	}
+	is.Equal(len(e.Keep(targets, 30, now)), 7)
+	is.Equal(len(e.Keep(targets[:1], 30, now)), 1) // never the last
+	e.Succeeded("0")
+	is.Equal(len(e.Keep(targets[:1], 100, now)), 1)
+}
--- a/internal/neighbour/link.go
+++ b/internal/neighbour/link.go
@@ -26,6 +26,8 @@
 	slowSilence    = silenceTimeout * SlowHeartbeat / FastHeartbeat
 	// helloTimeout bounds the opening of a link.
 	helloTimeout = 700 * time.Millisecond
+	// goodbyeTime is how long a link that is closed stays open to say so.
+	goodbyeTime = 100 * time.Millisecond
 	// queueLength is the number of frames that may wait on a link.
 	queueLength = 512
 )
@@ -72,6 +74,8 @@
 	wish   atomic.Int64
 	asked  atomic.Int64
 	repace chan struct{}
+	// closed is why this end closed the link, whatever it then hears of it.
+	closed atomic.Pointer[error]
 }
 
 // Peer returns the neighbour's fact as of the link's opening.
@@ -136,9 +140,15 @@
 	return silenceTimeout * next / FastHeartbeat
 }
 
-// Close ends the link.
+// Close ends the link after it has told the neighbour so.
 func (l *Link) Close(reason error) {
-	l.cancel(reason)
+	l.closed.Store(&reason)
+	l.Send(&messenger.Frame{
+		Body: &messenger.Frame_Goodbye{
+			Goodbye: &messenger.Goodbye{},
+		},
+	})
+	time.AfterFunc(goodbyeTime, func() { l.cancel(reason) })
 }
 
 // run carries frames until ctx ends, and returns why it ended.
@@ -152,6 +162,9 @@
 	go l.transmit(ctx, s, handler, count)
 	<-ctx.Done()
 	err := context.Cause(ctx)
+	if reason := l.closed.Load(); reason != nil {
+		err = *reason
+	}
 	handler.Down(l, err)
 	return err
 }
@@ -168,6 +181,10 @@
 			patience = l.hear(heartbeat)
 		}
 		silence.Reset(patience)
+		if frame.GetGoodbye() != nil {
+			l.cancel(ErrUnwanted)
+			return
+		}
 		handler.Frame(l, frame)
 	}
 }
@@ -245,6 +262,8 @@
 		return "pull"
 	case *messenger.Frame_Pieces:
 		return "pieces"
+	case *messenger.Frame_Goodbye:
+		return "goodbye"
 	case *messenger.Frame_Later:
 		return "later"
 	}
