Damp suspicion under load, and measure 12 to 200 nodes

Cause: 200 nodes started at once on 6 cores never got their first version in force: starved processes fell silent, were suspected, refuted, and the facts so flooded starved them more; the leader changed dozens of times. Now a process many of whose links fall silent at once dials before it suspects, a dial without any answer makes a suspicion only the second time, and what link goroutines read is published once a flush. The measurement starts nodes in batches of 20, as the machine is shared; a start of 200 at once was not run again.

--- a/cmd/fireflybench/fleet.go
+++ b/cmd/fireflybench/fleet.go
@@ -19,6 +19,7 @@
 
 const (
 	startTimeout   = 90 * time.Second
+	batch          = 20
 	requestTimeout = 8 * time.Second
 	targetSlots    = 20
 )
@@ -126,10 +127,30 @@
 		if err := f.addNode(shape, i); err != nil {
 			return err
 		}
+		if err := f.settleBatch(starting, i+1); err != nil {
+			return err
+		}
 	}
 	return f.untilInForce(starting)
 }
 
+// settleBatch waits after each batch of started nodes until all are ready:
+// all processes share this machine's cores, and a fleet that starts at once
+// would measure them.
+func (f *fleet) settleBatch(ctx context.Context, started int) error {
+	if started%batch != 0 {
+		return nil
+	}
+	return launcher.Until(ctx, "a batch of nodes is ready", func() bool {
+		for _, n := range f.nodes[started-batch:] {
+			if !launcher.Ready(n.IP) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func (f *fleet) addNode(shape fleetShape, i int) error {
 	node, err := f.StartNode(i%len(shape.zones), i/len(shape.zones)+1)
 	if err != nil {
--- a/cmd/fireflybench/main.go
+++ b/cmd/fireflybench/main.go
@@ -14,9 +14,10 @@
 )
 
 type commands struct {
-	Target  targetCommand  `cmd:"" help:"Be one stand-in target."`
-	Slopes  slopesCommand  `cmd:"" help:"Measure what control costs each role against the number of nodes and services."`
-	Latency latencyCommand `cmd:"" help:"Measure what nodes add to a call, beside a direct call."`
+	Target   targetCommand   `cmd:"" help:"Be one stand-in target."`
+	Slopes   slopesCommand   `cmd:"" help:"Measure what control costs each role against the number of nodes and services."`
+	Converge convergeCommand `cmd:"" help:"Measure a users' mesh with its delays, beside a direct feed."`
+	Latency  latencyCommand  `cmd:"" help:"Measure what nodes add to a call, beside a direct call."`
 }
 
 type targetCommand struct {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -79,6 +79,7 @@
 	probeDue  time.Time
 	expireDue time.Time
 	held      uint64
+	silences  []time.Time
 
 	admitLock sync.Mutex
 	admitter  *admitter.Admitter
@@ -93,6 +94,7 @@
 // peer is what is remembered of a member beyond its fact.
 type peer struct {
 	dialing      bool
+	timeouts     int
 	failures     int
 	blockedUntil time.Time
 	suspectedAt  time.Time
@@ -204,7 +206,9 @@
 	if fact == nil {
 		return
 	}
-	c.publish()
+	if from == "" {
+		c.publish()
+	}
 	c.pending[fact.GetName()] = source{
 		peer: from,
 	}
@@ -219,6 +223,7 @@
 
 func (c *Coordinator) flush() {
 	c.flushing = false
+	c.publish()
 	for name, link := range c.links {
 		facts := &messenger.Facts{}
 		for fact, from := range c.pending {
--- a/internal/coordinator/handler.go
+++ b/internal/coordinator/handler.go
@@ -110,6 +110,7 @@
 	c.links[name] = link
 	p := c.peer(name)
 	p.failures = 0
+	p.timeouts = 0
 	p.differences = 0
 	p.unwantedAt = time.Time{}
 	c.options.Log.Debug().Str("peer", name).Bool("dialed", link.Dialed()).Msg("overlay: link up")
@@ -279,7 +280,7 @@
 	if errors.Is(err, neighbour.ErrUnwanted) || errors.Is(err, neighbour.ErrReplaced) {
 		return
 	}
-	if errors.Is(err, neighbour.ErrSilent) && !c.stalled(now) {
+	if errors.Is(err, neighbour.ErrSilent) && !c.stalled(now) && !c.crowded(now) {
 		c.suspect(link.Peer(), now)
 		return
 	}
--- a/internal/coordinator/keep.go
+++ b/internal/coordinator/keep.go
@@ -1,6 +1,9 @@
 package coordinator
 
 import (
+	"context"
+	"net"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +18,12 @@
 	lastBackoff  = 1500 * time.Millisecond
 	// unwantedLife is how long a link that is no longer wanted stays.
 	unwantedLife = 5 * time.Second
+	// timeoutsToSuspect is the number of dials in a row without an answer
+	// that make a suspicion.
+	timeoutsToSuspect = 2
+	// crowdTime and crowdLeast say when many links are silent at once.
+	crowdTime  = 2 * time.Second
+	crowdLeast = 4
 	// suspectAgain is how long a refuted suspicion is not raised again by
 	// this process.
 	suspectAgain = 10 * time.Second
@@ -49,6 +58,16 @@
 	return now.Sub(c.lastTick) > stallLimit || now.Sub(c.stalledAt) < stallLimit
 }
 
+// crowded notes a silence, and says whether so many links went silent in a
+// short time that the fault is rather with this process or its machine. The
+// members are then dialed before they are suspected.
+func (c *Coordinator) crowded(now time.Time) bool {
+	c.silences = append(slices.DeleteFunc(c.silences, func(at time.Time) bool {
+		return now.Sub(at) > crowdTime
+	}), now)
+	return len(c.silences) > max(len(c.links)/2, crowdLeast)
+}
+
 // keepLinks dials the neighbours that have no link, and closes the dialed
 // links that are not wanted any more.
 func (c *Coordinator) keepLinks(now time.Time) {
@@ -131,11 +150,25 @@
 	}
 	p.blockedUntil = now.Add(c.backoff(p.failures))
 	p.failures++
-	if c.links[fact.GetName()] == nil && !c.stalled(now) {
+	if c.links[fact.GetName()] != nil || c.stalled(now) {
+		return
+	}
+	if timedOut(err) {
+		p.timeouts++
+	}
+	if !timedOut(err) || p.timeouts >= timeoutsToSuspect {
 		c.suspect(fact, now)
 	}
 }
 
+// timedOut says whether a dial ended without any answer, as it does at a busy
+// member too. A refusal tells at once that the member is gone.
+func timedOut(err error) bool {
+	var network net.Error
+	return errors.Is(err, neighbour.ErrSilent) || errors.Is(err, context.Canceled) ||
+		(errors.As(err, &network) && network.Timeout())
+}
+
 // backoff returns a jittered, capped wait.
 func (c *Coordinator) backoff(failures int) time.Duration {
 	wait := lastBackoff
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"encoding/hex"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"path/filepath"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/fireflymoor/fireflymoor"
@@ -23,10 +19,8 @@
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/operator"
 	"github.com/fireflymoor/fireflymoor/internal/platform"
-	"github.com/fireflymoor/fireflymoor/internal/recorder"
 	"github.com/fireflymoor/fireflymoor/internal/replica"
 	"github.com/fireflymoor/fireflymoor/internal/replicator"
-	"github.com/fireflymoor/fireflymoor/pkg/administrator"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
 	"github.com/fireflymoor/fireflymoor/pkg/renderer"
 )
@@ -183,238 +177,3 @@
 	_ = messenger.DRPCRegisterReplication(mux, peers)
 	return mux
 }
-
-// controlPeers answers other processes.
-type controlPeers struct {
-	control *control
-}
-
-// Link implements messenger.DRPCOverlayServer.
-func (p *controlPeers) Link(s messenger.DRPCOverlay_LinkStream) error {
-	return p.control.coordinator.Linker().Accept(s.Context(), s)
-}
-
-// ReportHeld implements messenger.DRPCOverlayServer.
-func (p *controlPeers) ReportHeld(context.Context, *messenger.HeldReport) (*messenger.Empty, error) {
-	return nil, errNotReporter
-}
-
-// Drain implements messenger.DRPCOverlayServer.
-func (p *controlPeers) Drain(context.Context, *messenger.Empty) (*messenger.Empty, error) {
-	return nil, errors.New("a control replica has no targets")
-}
-
-// Confirm implements messenger.DRPCSourceServer. It vouches only for what a
-// quorum has confirmed after the question came.
-func (p *controlPeers) Confirm(ctx context.Context, _ *messenger.Empty) (*messenger.ConfirmReply, error) {
-	c := p.control
-	c.admitLock.Lock()
-	later, ok := c.admitter.Admit(time.Now())
-	c.admitLock.Unlock()
-	if !ok {
-		return &messenger.ConfirmReply{
-			LaterMilliseconds: uint32(later.Milliseconds()),
-		}, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, quorumTimeout)
-	defer cancel()
-	manifest, err := c.controller.Confirm(ctx)
-	if err != nil {
-		return nil, err
-	}
-	hash := manifest.Hash()
-	return &messenger.ConfirmReply{
-		Number: manifest.Number(),
-		Hash:   hash[:],
-	}, nil
-}
-
-// ReportZone implements messenger.DRPCSourceServer.
-func (p *controlPeers) ReportZone(_ context.Context, report *messenger.ZoneReport) (*messenger.Empty, error) {
-	c := p.control
-	c.sequencer.Post(func() {
-		c.reports[report.GetZone()+"/"+report.GetReporter()] = zoneReport{
-			report: report,
-			at:     time.Now(),
-		}
-	})
-	return &messenger.Empty{}, nil
-}
-
-// Exchange implements messenger.DRPCReplicationServer.
-func (p *controlPeers) Exchange(s messenger.DRPCReplication_ExchangeStream) error {
-	for {
-		m, err := s.Recv()
-		if err != nil {
-			return err
-		}
-		p.control.controller.Step(m)
-	}
-}
-
-// Identify implements messenger.DRPCReplicationServer.
-func (p *controlPeers) Identify(ctx context.Context, _ *messenger.Empty) (*messenger.Identity, error) {
-	c := p.control
-	identity := &messenger.Identity{
-		Name: c.settings.Name,
-		Disk: c.keeper.Disk(),
-	}
-	err := c.sequencer.Do(ctx, func() {
-		identity.Blank = c.controller.Blank()
-	})
-	return identity, err
-}
-
-// operated is what operators reach of a control replica.
-type operated struct {
-	*control
-}
-
-// Change implements operator.Replica.
-func (o *operated) Change(ctx context.Context, change *messenger.Change) (*messenger.ChangeRecord, error) {
-	return o.controller.Change(ctx, change)
-}
-
-// Read implements operator.Replica.
-func (o *operated) Read(ctx context.Context, look func(accepted *recorder.Recorder)) error {
-	return o.sequencer.Do(ctx, func() {
-		look(o.controller.Recorder())
-	})
-}
-
-// Targets implements operator.Replica.
-func (o *operated) Targets(ctx context.Context) ([]fireflymoor.Target, error) {
-	var targets []fireflymoor.Target
-	err := o.sequencer.Do(ctx, func() {
-		targets = o.coordinator.Announcer().Targets()
-	})
-	return targets, err
-}
-
-// Drain implements operator.Replica.
-func (o *operated) Drain(ctx context.Context, name string) error {
-	address := ""
-	err := o.sequencer.Do(ctx, func() {
-		address = o.coordinator.Announcer().Fact(name).GetOverlayAddress()
-	})
-	if err != nil {
-		return err
-	}
-	if address == "" {
-		return &administrator.Error{
-			Code:   administrator.CodeNotFound,
-			State:  administrator.NotTaken,
-			Step:   "drain",
-			Reason: "no node is called " + name,
-		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
-	defer cancel()
-	return o.client.Call(ctx, address, func(conn drpc.Conn) error {
-		_, err := messenger.NewDRPCOverlayClient(conn).Drain(ctx, &messenger.Empty{})
-		return err
-	})
-}
-
-// Bootstrap implements operator.Replica.
-func (o *operated) Bootstrap(ctx context.Context) error {
-	return o.controller.Bootstrap(ctx, func(ctx context.Context) ([]*messenger.Identity, error) {
-		var others []*messenger.Identity
-		for _, r := range o.settings.Replicas {
-			if r.Name == o.settings.Name {
-				continue
-			}
-			identity, err := o.transport.Identify(ctx, r.Name, r.Address)
-			if err != nil {
-				return nil, err
-			}
-			others = append(others, identity)
-		}
-		return others, nil
-	})
-}
-
-// Backup implements operator.Replica.
-func (o *operated) Backup(context.Context) (string, error) {
-	name := fmt.Sprintf("backup-%s.db", time.Now().UTC().Format("20060102-150405.000"))
-	path := filepath.Join(o.settings.DataFolder, name)
-	return path, o.keeper.Backup(path)
-}
-
-// Status implements operator.Replica.
-func (o *operated) Status(ctx context.Context) (administrator.Status, error) {
-	status := administrator.Status{
-		Replica: o.settings.Name,
-	}
-	err := o.sequencer.Do(ctx, func() {
-		o.fillLog(&status)
-		o.fillZones(&status)
-	})
-	return status, err
-}
-
-func (o *operated) fillLog(status *administrator.Status) {
-	log := o.controller.Status()
-	manifest := o.controller.Recorder().Manifest()
-	hash := manifest.Hash()
-	status.Role = log.Role.String()
-	status.Term = log.Term
-	status.Leader = log.Leader
-	status.Voter = log.Voter
-	status.Quorum = log.Quorum
-	status.Number = manifest.Number()
-	status.Hash = hex.EncodeToString(hash[:])
-	for _, m := range log.Members {
-		status.Members = append(status.Members, m.GetName())
-	}
-}
-
-func (o *operated) fillZones(status *administrator.Status) {
-	announcer := o.coordinator.Announcer()
-	nodes := map[string]int{}
-	var zones []string
-	for _, f := range announcer.Facts() {
-		switch {
-		case f.GetControl():
-			continue
-		case f.GetState() == messenger.MemberState_MEMBER_SUSPECT:
-			status.Suspects = append(status.Suspects, f.GetName())
-		case f.GetState() == messenger.MemberState_MEMBER_ALIVE:
-			if nodes[f.GetZone()] == 0 {
-				zones = append(zones, f.GetZone())
-			}
-			nodes[f.GetZone()]++
-		}
-	}
-	for _, zone := range zones {
-		status.Zones = append(status.Zones, o.zone(zone, nodes[zone], status.Number))
-	}
-}
-
-// zone sums up a zone by the best fresh report of its reporters.
-func (o *operated) zone(name string, nodes int, number uint64) administrator.Zone {
-	zone := administrator.Zone{
-		Zone:  name,
-		Nodes: nodes,
-	}
-	for _, r := range o.reports {
-		fresh := time.Since(r.at) < reportLife
-		if r.report.GetZone() != name || !fresh || r.report.GetNumber() < number {
-			continue
-		}
-		holding := min(int(r.report.GetHolding()), nodes)
-		if holding < zone.Holding {
-			continue
-		}
-		zone.Holding = holding
-		zone.Laggards = nil
-		for _, l := range r.report.GetLagging() {
-			zone.Laggards = append(zone.Laggards, administrator.Laggard{
-				Node:    l.GetName(),
-				Held:    l.GetHeld(),
-				Refusal: l.GetRefusal(),
-			})
-		}
-	}
-	return zone
-}
