Let a leaving target's refusal cost no retry budget

All had been refused by the one leaving target and were not tried elsewhere: the entry node had itself just started, its budget for retries was empty but for ten free ones, and a leaving target with no calls in flight looks the least loaded. Ruled out: too few targets left, the retries of the route.

A refusal now says that the target is leaving; it is free, and the target is passed over for two seconds, until the overlay has said so too.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -178,6 +178,8 @@
 	case !c.body.replayable():
 		h.options.Log.Info().Str("call", c.id).Err(errBodySpent).Msg("caller: no retry")
 		return false
+	case errors.Is(err, fireflymoor.ErrDraining):
+		// The refusal of a leaving target is no sign of overload.
 	case !h.options.Budget.Spend(c.view.Configuration().Limits().RetryBudget, time.Now()):
 		h.options.Log.Info().Str("call", c.id).Err(errOverBudget).Msg("caller: no retry")
 		return false
@@ -225,7 +227,11 @@
 		return
 	}
 	h.options.Metrics.failed.WithLabelValues(outcome.String()).Inc()
-	if errors.IsAny(err, fireflymoor.ErrBusy) {
+	switch {
+	case errors.Is(err, fireflymoor.ErrDraining):
+		h.options.Ejector.Left(target.ID, time.Now())
+		return
+	case errors.Is(err, fireflymoor.ErrBusy):
 		return
 	}
 	h.options.Ejector.Failed(target.ID, time.Now())
--- /dev/null
+++ b/internal/distributor/distributor_test.go
@@ -0,0 +1,230 @@
+package distributor
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+)
+
+// failing is an asserter that fails the test.
+type failing struct {
+	testing.TB
+}
+
+// Check implements asserter.Asserter.
+func (f failing) Check(ok bool, invariant, detail string) {
+	if !ok {
+		f.Fatalf("%s: %s", invariant, detail)
+	}
+}
+
+// network is a line of members with jumps, without sockets.
+type network struct {
+	random  *rand.Rand
+	now     time.Time
+	members []*Distributor
+	links   map[int][]int
+	frames  []delivery
+	loss    float64
+}
+
+type delivery struct {
+	from, to int
+	frame    *messenger.Frame
+}
+
+func newNetwork(t *testing.T, size int, seed uint64) *network {
+	n := &network{
+		random: rand.New(rand.NewPCG(seed, seed)),
+		now:    time.Unix(1, 0),
+		links:  map[int][]int{},
+	}
+	for i := range size {
+		n.members = append(n.members, New(failing{TB: t}))
+		for _, j := range []int{(i + 1) % size, (i + 3) % size} {
+			n.links[i] = append(n.links[i], j)
+			n.links[j] = append(n.links[j], i)
+		}
+	}
+	for i, links := range n.links {
+		for _, j := range links {
+			n.take(i, n.members[i].OnPeer(fmt.Sprint(j), &messenger.Head{}, n.now))
+		}
+	}
+	return n
+}
+
+func (n *network) take(from int, effects Effects) {
+	for _, send := range effects.Sends {
+		to := 0
+		_, _ = fmt.Sscan(send.Peer, &to)
+		n.frames = append(n.frames, delivery{
+			from:  from,
+			to:    to,
+			frame: proto.CloneOf(send.Frame),
+		})
+	}
+}
+
+// step delivers what is on its way in random order, with loss and doubles,
+// and lets a heartbeat pass on each link.
+func (n *network) step() {
+	n.now = n.now.Add(100 * time.Millisecond)
+	frames := n.frames
+	n.frames = nil
+	n.random.Shuffle(len(frames), func(i, j int) { frames[i], frames[j] = frames[j], frames[i] })
+	for _, d := range frames {
+		if n.random.Float64() < n.loss {
+			continue
+		}
+		n.deliver(d)
+		if n.random.Float64() < n.loss {
+			n.deliver(d)
+		}
+	}
+	for i, m := range n.members {
+		n.take(i, m.Tick(n.now))
+		for _, j := range n.links[i] {
+			n.take(i, m.OnHeartbeat(fmt.Sprint(j), n.members[j].Manifest().Number(), n.now))
+		}
+	}
+}
+
+func (n *network) deliver(d delivery) {
+	m, peer := n.members[d.to], fmt.Sprint(d.from)
+	switch body := d.frame.GetBody().(type) {
+	case *messenger.Frame_Head:
+		n.take(d.to, m.OnHead(peer, body.Head, n.now))
+	case *messenger.Frame_ManifestRequest:
+		n.take(d.to, m.OnManifestRequest(peer))
+	case *messenger.Frame_Manifest:
+		n.take(d.to, m.OnManifest(peer, body.Manifest, n.now))
+	case *messenger.Frame_Pull:
+		n.take(d.to, m.OnPull(peer, body.Pull))
+	case *messenger.Frame_Pieces:
+		n.take(d.to, m.OnPieces(peer, body.Pieces, n.now))
+	}
+}
+
+// source makes versions as the log would.
+type source struct {
+	manifest fireflymoor.Manifest
+	pieces   map[string][2]string
+}
+
+func (s *source) change(team, values string) (fireflymoor.Manifest, []string) {
+	template := strings.Repeat("template of "+team+"\n", 50)
+	s.pieces[team] = [2]string{template, values}
+	s.manifest = s.manifest.With(fireflymoor.TeamEntry{
+		Team:     team,
+		Template: fireflymoor.HashOf(template),
+		Values:   fireflymoor.HashOf(values),
+	})
+	var pieces []string
+	for _, p := range s.pieces {
+		pieces = append(pieces, p[0], p[1])
+	}
+	return s.manifest, pieces
+}
+
+// TestSpread has versions follow each other over links that lose, double and
+// reorder, so that updates cross on the way. Every member comes to hold the
+// newest version whole; a member's version only grows (asserted inside).
+func TestSpread(t *testing.T) {
+	for seed := range uint64(40) {
+		n := newNetwork(t, 9, seed)
+		n.loss = 0.3
+		s := &source{
+			pieces: map[string][2]string{},
+		}
+		for i := range 60 {
+			manifest, pieces := s.change(fmt.Sprintf("team-%d", i%4), fmt.Sprintf("[values]\nn = %d\n", i))
+			n.take(0, n.members[0].Adopt(manifest, pieces))
+			if i%3 == 0 {
+				n.step()
+			}
+		}
+		for range 60 {
+			n.step()
+		}
+		for i, m := range n.members {
+			if m.Manifest().Hash() != s.manifest.Hash() {
+				t.Fatalf("seed %d: member %d holds version %d, not %d", seed, i, m.Manifest().Number(), s.manifest.Number())
+			}
+			for team, p := range s.pieces {
+				inputs, _ := m.Inputs(team)
+				if inputs.Template != p[0] || inputs.Values != p[1] {
+					t.Fatalf("seed %d: member %d lacks the inputs of %s", seed, i, team)
+				}
+			}
+		}
+	}
+}
+
+// TestWholeOrNotAtAll gives a member a version with a piece missing, and one
+// with a piece that is not what the manifest names. It keeps the one before.
+func TestWholeOrNotAtAll(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1, 0)
+	s := &source{
+		pieces: map[string][2]string{},
+	}
+	manifest, _ := s.change("team", "[values]\n")
+	d := New(failing{TB: t})
+	d.OnPeer("peer", messenger.HeadOf(manifest), now)
+	effects := d.OnPieces("peer", &messenger.Pieces{
+		Pieces: []*messenger.Piece{
+			{
+				Content: []byte("nonsense"),
+			},
+		},
+	}, now)
+	is.True(!effects.Stored)
+	is.Equal(d.Manifest().Number(), uint64(0))
+}
+
+// TestSmallChangesAreSmall packs a changed piece against the one held.
+func TestSmallChangesAreSmall(t *testing.T) {
+	is := is.New(t)
+	s := &source{
+		pieces: map[string][2]string{},
+	}
+	long := strings.Repeat("some-parameter = some value\n", 200)
+	d := New(failing{TB: t})
+	manifest, pieces := s.change("team", "[values]\n"+long+"timeout = 1s\n")
+	d.Adopt(manifest, pieces)
+	old, _ := manifest.Team("team")
+	manifest, pieces = s.change("team", "[values]\n"+long+"timeout = 2s\n")
+	d.Adopt(manifest, pieces)
+	entry, _ := manifest.Team("team")
+	effects := d.OnPull("peer", &messenger.Pull{
+		Pieces: []*messenger.PieceRequest{
+			{
+				Hash: entry.Values[:],
+				Base: old.Values[:],
+			},
+		},
+	})
+	size := proto.Size(effects.Sends[0].Frame)
+	t.Logf("a change of one value among %d bytes travels in %d bytes", len(long), size)
+	is.True(size < 200)
+}
+
+func BenchmarkStore(b *testing.B) {
+	s := &source{
+		pieces: map[string][2]string{},
+	}
+	d := New(failing{TB: b})
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		d.Adopt(s.change(fmt.Sprintf("team-%d", i%110), fmt.Sprint(i)))
+	}
+}
--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -16,7 +16,9 @@
 	// in a row lasts twice as long, up to lastEjection.
 	firstEjection = 500 * time.Millisecond
 	lastEjection  = 30 * time.Second
-	percent       = 100
+	// leftTime is how long a target that refused new work is passed over.
+	leftTime = 2 * time.Second
+	percent  = 100
 )
 
 // An Ejector remembers the failures of targets.
@@ -65,6 +67,16 @@
 	r.ejections++
 }
 
+// Left notes that a target refuses new work, before the overlay has said so.
+func (e *Ejector) Left(id string, now time.Time) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.targets[id] = &record{
+		until: now.Add(leftTime),
+		seen:  now,
+	}
+}
+
 // Keep returns the targets that are not ejected. It ejects no more than share
 // percent of them, and never all.
 func (e *Ejector) Keep(targets []fireflymoor.Target, share int, now time.Time) []fireflymoor.Target {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -252,7 +252,11 @@
 		return response, fireflymoor.Answered, nil
 	case fireflymoor.NotRun.String():
 		_ = response.Body.Close()
-		return nil, fireflymoor.NotRun, errors.Wrapf(fireflymoor.ErrBusy, "forwarder: %s", reason)
+		err := errors.Wrapf(fireflymoor.ErrBusy, "forwarder: %s", reason)
+		if response.Header.Get(labeler.Draining) != "" {
+			err = errors.Mark(err, fireflymoor.ErrDraining)
+		}
+		return nil, fireflymoor.NotRun, err
 	}
 	_ = response.Body.Close()
 	return nil, fireflymoor.Unknown, errors.Newf("forwarder: outcome unknown: %s", reason)
--- a/internal/labeler/labeler.go
+++ b/internal/labeler/labeler.go
@@ -28,12 +28,14 @@
 	Boot = "Fireflymoor-Boot"
 	// Once marks a call that must not repeat.
 	Once = "Fireflymoor-Once"
+	// Draining marks the refusal of a target that gets no new work.
+	Draining = "Fireflymoor-Draining"
 	// Load is the share of a target's slots in use, from 0 to 1.
 	Load = "Fireflymoor-Load"
 )
 
 var (
-	inner = []string{TargetID, Boot, Once, Load}
+	inner = []string{TargetID, Boot, Once, Draining, Load}
 	// hopByHop are the headers that end at each connection.
 	hopByHop = []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -7,12 +7,14 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fireflymoor/fireflymoor"
 )
 
 // The reasons to refuse a call.
 var (
 	ErrFull     = errors.New("all slots and the queue are full")
-	ErrDraining = errors.New("the target gets no new work")
+	ErrDraining = fireflymoor.ErrDraining
 	ErrDeadline = errors.New("the deadline passed in the queue")
 )
 
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -157,16 +157,20 @@
 	s.DataFolder = section.String("data-folder", "")
 	s.CountViolations = section.Bool("count-violations", false)
 	s.Grace = section.Duration("grace", defaultGrace, 0, mostTime)
-	for key, value := range map[string]string{"name": s.Name, "zone": s.Zone, "team": s.Team} {
-		if value != "" && !parser.ValidName(value) {
-			section.Fault(key, "is not in kebab case")
-		}
-	}
+	checkName(section, "name", s.Name)
+	checkName(section, "zone", s.Zone)
+	checkName(section, "team", s.Team)
 	if s.Role != "" && s.Role != RoleControl && s.Role != RoleNode {
 		section.Fault("role", "is neither control nor node")
 	}
 }
 
+func checkName(section *parser.Section, key, value string) {
+	if value != "" && !parser.ValidName(value) {
+		section.Fault(key, "is not in kebab case")
+	}
+}
+
 func (s *Settings) readControl(section *parser.Section) {
 	for _, word := range section.Words("replicas", nil) {
 		name, at, ok := strings.Cut(word, "@")
@@ -208,6 +212,12 @@
 	if s.Name == "" && s.Role == "" {
 		d.Fault("process", "", "the section is missing")
 	}
+	if len(s.Replicas) == 0 {
+		d.Fault("control", "replicas", "is missing")
+	}
+	if s.Role != RoleControl && s.Role != RoleNode {
+		return
+	}
 	need := func(section, key, value string) {
 		if value == "" {
 			d.Fault(section, key, "is needed for the role "+s.Role)
@@ -220,9 +230,6 @@
 	}
 	need("listen", "overlay", s.Overlay)
 	need("listen", "platform", s.Platform)
-	if len(s.Replicas) == 0 {
-		d.Fault("control", "replicas", "is missing")
-	}
 	switch s.Role {
 	case RoleControl:
 		need("process", "data-folder", s.DataFolder)
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -113,6 +113,9 @@
 		if outcome == fireflymoor.NotRun {
 			state = registrar.NotRun
 		}
+		if errors.Is(err, fireflymoor.ErrDraining) {
+			w.Header().Set(labeler.Draining, "yes")
+		}
 		r.log.Info().Str("call", id).Str("target", target.ID).Stringer("outcome", outcome).Err(err).Msg("receiver: not served")
 		Refuse(w, http.StatusServiceUnavailable, outcome, err.Error())
 		return
--- a/outcome.go
+++ b/outcome.go
@@ -2,8 +2,12 @@
 
 import "github.com/cockroachdb/errors"
 
-// ErrBusy marks the refusal of a target's node that is reached and well.
-var ErrBusy = errors.New("refused by the target's node")
+var (
+	// ErrBusy marks the refusal of a target's node that is reached and well.
+	ErrBusy = errors.New("refused by the target's node")
+	// ErrDraining marks the refusal of a target that gets no new work.
+	ErrDraining = errors.New("the target gets no new work")
+)
 
 // An Outcome says how a call, or one try of it, ended.
 type Outcome int
