--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -57,13 +57,9 @@
 	}, fireflymoor.Answered, nil
 }
 
-// TestLeavingTargetCostsNoCall sends calls through a node that has just
-// started, so that its budget is empty, while a target refuses new work. No
-// call fails, and the target is soon passed over.
-func TestLeavingTargetCostsNoCall(t *testing.T) {
-	is := is.New(t)
-	o := &oneLeaves{}
-	h := New(Options{
+// newHandler returns the handler of a node that has just started.
+func newHandler(o *oneLeaves) *Handler {
+	return New(Options{
 		Node:      "node",
 		Viewer:    o,
 		Balancer:  balancer.NewTwoChoices(),
@@ -74,6 +70,15 @@
 		Metrics:   NewMetrics(prometheus.NewRegistry()),
 		Log:       zerolog.Nop(),
 	})
+}
+
+// TestLeavingTargetCostsNoCall sends calls through a node that has just
+// started, so that its budget is empty, while a target refuses new work. No
+// call fails, and the target is soon passed over.
+func TestLeavingTargetCostsNoCall(t *testing.T) {
+	is := is.New(t)
+	o := &oneLeaves{}
+	h := newHandler(o)
 	for range 500 {
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/x", http.NoBody))
@@ -84,17 +89,7 @@
 
 func BenchmarkServeHTTP(b *testing.B) {
 	o := &oneLeaves{}
-	h := New(Options{
-		Node:      "node",
-		Viewer:    o,
-		Balancer:  balancer.NewTwoChoices(),
-		Forwarder: o,
-		Tracker:   tracker.New("zone"),
-		Ejector:   ejector.New(),
-		Budget:    retrier.NewBudget(),
-		Metrics:   NewMetrics(prometheus.NewRegistry()),
-		Log:       zerolog.Nop(),
-	})
+	h := newHandler(o)
 	b.ReportAllocs()
 	for b.Loop() {
 		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/x", http.NoBody))
