Start a log with all replicas as its members

A log was started by one replica alone, and the others were admitted one at a time over the next heartbeats. A change accepted at once and a cut of that replica's zone right after left two members, of which the one outside had no quorum: a loss within the first second of a log's life stopped it, and the third replica, though blank and reached, did not count.

Ruled out: the pre-vote (both sides' logs show them pre-candidates, rightly refused), a closed overlay link between replicas (the log's messages have connections of their own).

Found beside it: two replicas that start a log at the same time each became leader of one of its own.

Conclusion: start asks all replicas for their disks anyway, so they are the first members, and a quorum of all elects the first leader.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -342,22 +342,27 @@
 	}
 }
 
-// Bootstrap starts a new log on this replica alone. Identify asks every other
-// replica; all must be reached and blank.
+// Bootstrap starts a new log of which all replicas are members. Identify asks
+// every other replica; all must be reached and blank.
 func (c *Controller) Bootstrap(ctx context.Context, identify func(ctx context.Context) ([]*messenger.Identity, error)) error {
 	others, err := identify(ctx)
 	if err != nil {
 		return errors.Wrap(err, "controller: bootstrap")
 	}
+	members := make([]*messenger.Member, 0, len(others))
 	for _, other := range others {
 		if !other.GetBlank() {
 			return errors.Newf("controller: bootstrap: replica %s holds a log already", other.GetName())
 		}
+		members = append(members, &messenger.Member{
+			Name: other.GetName(),
+			Disk: other.GetDisk(),
+		})
 	}
 	var bootErr error
 	err = c.options.Sequencer.Do(ctx, func() {
 		var effects replicator.Effects
-		effects, bootErr = c.replicator.Bootstrap(time.Now())
+		effects, bootErr = c.replicator.Bootstrap(members, time.Now())
 		c.handle(effects)
 	})
 	return errors.Wrap(errors.CombineErrors(err, bootErr), "controller: bootstrap")
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -52,7 +52,16 @@
 	*Replicator
 }
 
+// newCluster returns a cluster whose log was started with all replicas.
 func newCluster(t testing.TB, seed uint64, size int, anyDisk bool) *cluster {
+	c := newBlankCluster(t, seed, size, anyDisk)
+	c.bootstrap("a", c.names...)
+	c.untilAllMembers()
+	return c
+}
+
+// newBlankCluster returns a cluster whose log has not been started.
+func newBlankCluster(t testing.TB, seed uint64, size int, anyDisk bool) *cluster {
 	c := &cluster{
 		t:         t,
 		random:    rand.New(rand.NewPCG(seed, seed)),
@@ -73,17 +82,35 @@
 		c.newDisk(m)
 		c.start(m)
 	}
-	first := c.replicas["a"]
-	effects, err := first.Bootstrap(c.now)
+	return c
+}
+
+// bootstrap has a replica start the log with the members named.
+func (c *cluster) bootstrap(name string, members ...string) {
+	c.t.Helper()
+	var others []*messenger.Member
+	for _, other := range members {
+		if other != name {
+			others = append(others, &messenger.Member{
+				Name: other,
+				Disk: c.replicas[other].disk,
+			})
+		}
+	}
+	first := c.replicas[name]
+	effects, err := first.Bootstrap(others, c.now)
 	if err != nil {
-		t.Fatal(err)
+		c.t.Fatal(err)
 	}
 	c.handle(first, effects)
+}
+
+func (c *cluster) untilAllMembers() {
+	c.t.Helper()
 	c.until("all are members", func() bool {
 		leader := c.leader()
-		return leader != nil && len(leader.members()) == size && leader.commit == leader.lastIndex()
+		return leader != nil && len(leader.members()) == len(c.names) && leader.commit == leader.lastIndex()
 	})
-	return c
 }
 
 func (c *cluster) newDisk(m *machine) {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -5,6 +5,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -181,19 +183,23 @@
 	return r.durable.Term == 0 && r.durable.Snapshot == nil && len(r.durable.Entries) == 0
 }
 
-// Bootstrap starts a new log with this replica as its only member. Others
-// are admitted when they have caught up.
-func (r *Replicator) Bootstrap(now time.Time) (Effects, error) {
+// Bootstrap starts a new log whose first members are this replica and the
+// others given. With all replicas among them a quorum of all elects the first
+// leader, so that replicas that start a log at the same time come to share
+// one. Replicas that are not among them are admitted when they have caught up.
+func (r *Replicator) Bootstrap(others []*messenger.Member, now time.Time) (Effects, error) {
 	if !r.Blank() {
 		return Effects{}, errors.New("the disk holds a log already")
 	}
 	r.setTerm(1, "")
-	r.append([]*messenger.Entry{membershipEntry(1, 1, []*messenger.Member{
-		{
-			Name: r.config.Name,
-			Disk: r.config.Disk,
-		},
-	})})
+	members := append(slices.Clone(others), &messenger.Member{
+		Name: r.config.Name,
+		Disk: r.config.Disk,
+	})
+	slices.SortFunc(members, func(a, b *messenger.Member) int {
+		return strings.Compare(a.GetName(), b.GetName())
+	})
+	r.append([]*messenger.Entry{membershipEntry(1, 1, members)})
 	r.electionDue = now
 	return r.Tick(now), nil
 }
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -201,3 +201,43 @@
 	is.True(strings.Contains(held, "value0") && strings.Contains(held, "tail19"))
 	is.True(away.durable.Snapshot.GetIndex() > 300) // it came by the snapshot
 }
+
+// TestBootstrapTogether starts the log at every replica at the same time. All
+// come to share one log. Each alone, they would be leaders of logs of their
+// own.
+func TestBootstrapTogether(t *testing.T) {
+	for seed := range uint64(50) {
+		c := newBlankCluster(t, seed, 3, false)
+		for _, name := range c.names {
+			c.bootstrap(name, c.names...)
+		}
+		c.untilAllMembers()
+		c.commit("first")
+		c.checkAll()
+	}
+}
+
+// TestBootstrapBearsALoss loses a replica as soon as the first value is
+// committed: the others go on.
+func TestBootstrapBearsALoss(t *testing.T) {
+	for seed := range uint64(50) {
+		c := newBlankCluster(t, seed, 3, false)
+		c.bootstrap("a", c.names...)
+		c.commit("first")
+		c.kill(c.replicas["a"])
+		c.commit("second")
+		c.heal()
+		c.checkAll()
+	}
+}
+
+// TestGrow starts the log with one replica and admits the others one by one.
+func TestGrow(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newBlankCluster(t, seed, 5, false)
+		c.bootstrap("a", "a")
+		c.untilAllMembers()
+		c.commit("first")
+		c.checkAll()
+	}
+}
