Run a call with an idempotency key at most once over its resends

Cause: a caller that lost an answer and sent its reservation again through another node had it run twice; the key was only passed on to the target.

Weighed: a home and a deputy (a cut home leaves the deputy unable to tell), the control replicas (an fsync a call), the target's node (a resend may choose another target). Chosen: three keepers for each key by rendezvous hashing, one a zone, of which a majority must grant a claim before the call runs; a restarted keeper grants nothing on a key until synced with its other keepers.

A start of the whole system waits one window (1m unless set); a cut-off zone refuses calls with a key as not run (docs/design/keys.md).

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -203,6 +203,19 @@
 	}
 }
 
+// Nodes returns the facts of all nodes but those that left longer ago than a
+// time.
+func (a *Announcer) Nodes(now time.Time, left time.Duration) []*messenger.Fact {
+	var nodes []*messenger.Fact
+	for _, f := range a.Facts() {
+		gone := f.GetState() == messenger.MemberState_MEMBER_LEFT && now.Sub(a.facts[f.GetName()].changed) > left
+		if !f.GetControl() && !gone {
+			nodes = append(nodes, f)
+		}
+	}
+	return nodes
+}
+
 // Targets returns the targets that routes may lead to.
 func (a *Announcer) Targets() []fireflymoor.Target {
 	var targets []fireflymoor.Target
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/claimer"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
 	"github.com/fireflymoor/fireflymoor/internal/labeler"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
@@ -43,6 +44,8 @@
 	Ejector *ejector.Ejector
 	// Budget bounds retries.
 	Budget *retrier.Budget
+	// Claims keeps calls with an idempotency key from running twice.
+	Claims Claims
 	// Metrics counts calls.
 	Metrics *Metrics
 	// Log has the part's prefix.
@@ -73,6 +76,8 @@
 	body    *body
 	began   time.Time
 	tried   []string
+	// grant is the claim of a call with an idempotency key, or nil.
+	grant *claimer.Grant
 }
 
 // ServeHTTP implements http.Handler.
@@ -91,6 +96,11 @@
 		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, "the deadline is no whole number of milliseconds")
 		return
 	}
+	key, ok := keyOf(request, route)
+	if !ok {
+		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, fmt.Sprintf("the idempotency key is not one of 1 to %d bytes", maxKey))
+		return
+	}
 	ctx, cancel := context.WithTimeout(request.Context(), left)
 	defer cancel()
 	service, _ := view.Configuration().Service(route.Service)
@@ -105,6 +115,10 @@
 		began:   began,
 	}
 	h.options.Budget.Call(began)
+	if key != "" {
+		h.serveOnce(ctx, w, c, key)
+		return
+	}
 	h.serve(ctx, w, c)
 }
 
@@ -142,7 +156,7 @@
 		response, outcome, err := h.try(ctx, c)
 		ran = ran || outcome == fireflymoor.Unknown
 		if outcome == fireflymoor.Answered {
-			h.answer(w, c, response)
+			h.pass(ctx, w, c, response)
 			return
 		}
 		if h.mayRetry(ctx, c, try, outcome, err) {
@@ -151,6 +165,7 @@
 		if ran {
 			outcome = fireflymoor.Unknown
 		}
+		c.conclude(ctx, outcome)
 		status := failureStatus(ctx, c, outcome)
 		h.refuse(w, c.id, status, outcome, err.Error())
 		return
@@ -256,6 +271,15 @@
 	return h.options.Balancer.Pick(candidates, now)
 }
 
+// pass passes a target's answer on.
+func (h *Handler) pass(ctx context.Context, w http.ResponseWriter, c *call, response *http.Response) {
+	if c.grant != nil {
+		h.answerOnce(ctx, w, c, response)
+		return
+	}
+	h.answer(w, c, response)
+}
+
 func (h *Handler) answer(w http.ResponseWriter, c *call, response *http.Response) {
 	defer func() {
 		_ = response.Body.Close()
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -12,6 +12,7 @@
 type Metrics struct {
 	ended    *prometheus.CounterVec
 	failed   *prometheus.CounterVec
+	claims   *prometheus.CounterVec
 	duration prometheus.Histogram
 }
 
@@ -26,13 +27,17 @@
 			Name: "fireflymoor_failed_tries_total",
 			Help: "Tries that got no answer, by outcome.",
 		}, []string{"outcome"}),
+		claims: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflymoor_claims_total",
+			Help: "Calls with an idempotency key, by what their keepers said.",
+		}, []string{"result"}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "fireflymoor_call_seconds",
 			Help:    "Time from a call's arrival to the head of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
 		}),
 	}
-	registry.MustRegister(m.ended, m.failed, m.duration)
+	registry.MustRegister(m.ended, m.failed, m.claims, m.duration)
 	return m
 }
 
--- a/internal/labeler/labeler.go
+++ b/internal/labeler/labeler.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -18,6 +19,10 @@
 	CallID = "Fireflymoor-Call-Id"
 	// Reason says why a call was refused.
 	Reason = "Fireflymoor-Reason"
+	// IdempotencyKey names a call over all its resends by its caller.
+	IdempotencyKey = "Idempotency-Key"
+	// Replayed marks the answer that an earlier call with the key got.
+	Replayed = "Fireflymoor-Replayed"
 )
 
 // Headers between nodes.
@@ -44,7 +49,7 @@
 	// replayed are the headers that make net/http send a request again by
 	// itself. In lower case it does not know them, and receivers do.
 	replayed = map[string]string{
-		"Idempotency-Key":   "idempotency-key",
+		IdempotencyKey:      "idempotency-key",
 		"X-Idempotency-Key": "x-idempotency-key",
 	}
 )
@@ -74,6 +79,11 @@
 	}
 }
 
+// Inner says whether a header is one between nodes.
+func Inner(name string) bool {
+	return slices.Contains(inner, name)
+}
+
 // SetDeadline writes the time that ctx has left.
 func SetDeadline(ctx context.Context, h http.Header) {
 	if at, ok := ctx.Deadline(); ok {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -60,6 +60,8 @@
 	Tokens map[string]string
 	// Lease is how long a target's announcement holds.
 	Lease time.Duration
+	// KeyWindow is how long an idempotency key is remembered.
+	KeyWindow time.Duration
 	// Grace is how long a leaving process goes on answering callers.
 	Grace time.Duration
 	// Heartbeat and Election time the replicated log.
@@ -83,11 +85,16 @@
 // Bounds and defaults of the timings.
 const (
 	defaultLease     = 1500 * time.Millisecond
+	defaultKeyWindow = time.Minute
 	defaultGrace     = time.Second
 	defaultHeartbeat = 100 * time.Millisecond
 	defaultElection  = 600 * time.Millisecond
 	leastTime        = 10 * time.Millisecond
 	mostTime         = time.Minute
+	// leastKeyWindow is longer than a claim may take, and mostKeyWindow no
+	// longer than a member that is gone is known.
+	leastKeyWindow = 2 * time.Second
+	mostKeyWindow  = 10 * time.Minute
 )
 
 // Load reads and checks the settings in a file. The error names every fault.
@@ -104,6 +111,7 @@
 	d := parser.NewDocument("settings", "", name, text)
 	s := Settings{
 		Lease:     defaultLease,
+		KeyWindow: defaultKeyWindow,
 		Grace:     defaultGrace,
 		Heartbeat: defaultHeartbeat,
 		Election:  defaultElection,
@@ -142,6 +150,8 @@
 		}
 	case "targets":
 		s.Lease = section.Duration("lease", defaultLease, leastTime, mostTime)
+	case "callers":
+		s.KeyWindow = section.Duration("key-window", defaultKeyWindow, leastKeyWindow, mostKeyWindow)
 	case "log":
 		s.readLog(section)
 	default:
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -52,6 +52,7 @@
 	targets  *target.Registry
 	tracker  *tracker.Tracker
 	remote   *forwarder.Remote
+	claims   *claims
 	view     atomic.Pointer[fireflymoor.View]
 	viewDue  bool
 	leaving  atomic.Bool
@@ -74,6 +75,7 @@
 		reporter: reporter.New(settings.Zone, settings.Name),
 		tracker:  tracker.New(settings.Zone),
 		remote:   forwarder.NewRemote(m.dialer),
+		claims:   newClaims(settings, m.client),
 	}
 	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
 	n.view.Store(&empty)
@@ -97,6 +99,7 @@
 		Tracker:   n.tracker,
 		Ejector:   ejector.New(),
 		Budget:    retrier.NewBudget(),
+		Claims:    n.claims.claimer,
 		Metrics:   caller.NewMetrics(n.registry),
 		Log:       n.log,
 		Decisions: n.settings.Decisions,
@@ -141,6 +144,8 @@
 	group.Go(func() { n.confirm(working) })
 	group.Go(func() { n.sequencer.Every(working, reportInterval, func() { n.report(working) }) })
 	group.Go(func() { n.expireLeases(working) })
+	group.Go(func() { n.sequencer.Every(working, ringInterval, n.makeRing) })
+	group.Go(func() { n.claims.complete(working, n.log) })
 	n.log.Info().Str("zone", n.settings.Zone).Str("team", n.settings.Team).Msg("process: node started")
 	<-ctx.Done()
 	n.leave()
@@ -170,6 +175,7 @@
 func (n *node) mux() *drpcmux.Mux {
 	mux := drpcmux.New()
 	_ = messenger.DRPCRegisterOverlay(mux, &nodeOverlay{node: n})
+	_ = messenger.DRPCRegisterClaims(mux, &keeping{claims: n.claims})
 	return mux
 }
 
@@ -253,6 +259,12 @@
 	n.view.Store(&view)
 	n.tracker.Forget(targets)
 	n.remote.Forget(targets)
+	n.makeRing()
+}
+
+// makeRing makes the ring that claims are kept among anew.
+func (n *node) makeRing() {
+	n.claims.setMembers(n.coordinator.Announcer().Nodes(time.Now(), n.settings.KeyWindow))
 }
 
 // confirm learns from a quorum how new a version must be, before any is put
