--- a/cmd/fireflybench/fleet.go
+++ b/cmd/fireflybench/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -11,7 +12,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/auditor"
 	"github.com/fireflymoor/fireflymoor/internal/gauger"
+	"github.com/fireflymoor/fireflymoor/internal/labeler"
 	"github.com/fireflymoor/fireflymoor/internal/launcher"
 	"github.com/fireflymoor/fireflymoor/internal/responder"
 	"github.com/fireflymoor/fireflymoor/pkg/administrator"
@@ -31,13 +35,15 @@
 	Output string `type:"path" help:"File for the result as JSON."`
 }
 
-// fleet is a started system with stand-in targets inside this process.
+// fleet is a started system with stand-in targets, inside this process or
+// apart.
 type fleet struct {
 	*launcher.Cluster
 
 	folder   string
 	controls []*launcher.Process
 	nodes    []*launcher.Process
+	apart    []*launcher.Process
 	client   *administrator.Client
 	version  uint64
 	targets  sync.WaitGroup
@@ -53,6 +59,11 @@
 	services int
 	level    string
 	relay    func(listen, to string) error
+	// apart gives each target a process of its own, whose calls take delay.
+	apart bool
+	delay time.Duration
+	// keyWindow is how long idempotency keys are remembered, or 0.
+	keyWindow time.Duration
 }
 
 func zoneNames(n int) []string {
@@ -85,6 +96,8 @@
 		Replicas: shape.replicas,
 		Level:    shape.level,
 		Relay:    shape.relay,
+
+		KeyWindow: shape.keyWindow,
 	})
 	if err != nil {
 		return nil, err
@@ -157,6 +170,11 @@
 		return err
 	}
 	f.nodes = append(f.nodes, node)
+	if shape.apart {
+		target, err := f.StartTarget(node, serviceName(i%shape.services), targetSlots, shape.delay)
+		f.apart = append(f.apart, target)
+		return err
+	}
 	return f.addTarget(node, serviceName(i%shape.services), node.IP+":0")
 }
 
@@ -223,6 +241,23 @@
 	})
 }
 
+// untilKeys waits until every node serves calls with an idempotency key.
+func (f *fleet) untilKeys(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return launcher.Until(ctx, "calls with a key are served", func() bool {
+		for _, node := range f.nodes {
+			name := uuid.NewString()
+			path := "/" + serviceName(0) + "/" + name
+			a := auditor.Call(node, http.MethodPost, path, name, "", labeler.IdempotencyKey, name)
+			if a.Outcome != fireflymoor.Answered.String() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // usage reads what each process has used.
 func usage(processes []*launcher.Process) ([]gauger.Usage, error) {
 	all := make([]gauger.Usage, 0, len(processes))
--- a/cmd/fireflybench/latency.go
+++ b/cmd/fireflybench/latency.go
@@ -26,8 +26,9 @@
 
 // way is one way of reaching a target.
 type way struct {
-	name string
-	url  string
+	name    string
+	url     string
+	options []pacer.Option
 }
 
 // wayResult is what one way gave, in microseconds.
@@ -44,6 +45,9 @@
 	warmUp       = 500 * time.Millisecond
 	latencyNodes = 4
 	bothServices = 4
+	// latencyWindow is short, as nothing is sent again and all nodes must
+	// have lived as long before calls with a key are served.
+	latencyWindow = 2 * time.Second
 )
 
 // Run runs the command.
@@ -54,11 +58,16 @@
 		nodes:    latencyNodes,
 		services: bothServices,
 		level:    "info",
+
+		keyWindow: latencyWindow,
 	})
 	if err != nil {
 		return err
 	}
 	defer f.end(c.Keep)
+	if err := f.untilKeys(ctx); err != nil {
+		return err
+	}
 	ways, err := f.ways()
 	if err != nil {
 		return err
@@ -96,11 +105,16 @@
 			name: "two nodes",
 			url:  callers(0, 2),
 		},
+		{
+			name:    "two nodes, with a key",
+			url:     callers(0, 2),
+			options: []pacer.Option{pacer.WithKeys()},
+		},
 	}, nil
 }
 
 func (c *latencyCommand) measure(ctx context.Context, w way, results map[string]*wayResult) {
-	p := pacer.New(w.url, c.Rate)
+	p := pacer.New(w.url, c.Rate, w.options...)
 	p.Run(ctx, warmUp)
 	result := pacer.NewResult()
 	var group sync.WaitGroup
--- a/integration/call_test.go
+++ b/integration/call_test.go
@@ -1,124 +1,50 @@
 package integration
 
 import (
-	"fmt"
-	"math/rand/v2"
 	"net/http"
-	"os"
-	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/google/uuid"
-
+	"github.com/fireflymoor/fireflymoor/internal/auditor"
 	"github.com/fireflymoor/fireflymoor/internal/launcher"
 )
 
-// load is callers at work: each call has a name of its own, so that the
-// targets' notes tell how often it ran.
+// load is callers at work.
 type load struct {
-	m       *mesh
-	id      string
-	stop    atomic.Bool
-	group   sync.WaitGroup
-	lock    sync.Mutex
-	answers map[string]answer
-	slowest time.Duration
-	began   time.Time
-	late    map[string]time.Duration
+	*auditor.Auditor
+
+	m *mesh
 }
 
 // startLoad starts callers that call through random nodes among those given.
 func (m *mesh) startLoad(callers int, method string, nodes func() []*launcher.Process) *load {
-	l := &load{
-		m:       m,
-		id:      uuid.NewString()[:8],
-		answers: map[string]answer{},
-		began:   time.Now(),
-		late:    map[string]time.Duration{},
-	}
-	for i := range callers {
-		l.group.Go(func() {
-			for n := 0; !l.stop.Load(); n++ {
-				l.one(fmt.Sprintf("%s-%s-%d-%d", method, l.id, i, n), method, nodes())
-			}
-		})
+	return &load{
+		m: m,
+		Auditor: auditor.Start(auditor.Options{
+			Callers: callers,
+			Method:  method,
+			Service: "reservas",
+			Nodes:   nodes,
+		}),
 	}
-	return l
-}
-
-func (l *load) one(name, method string, nodes []*launcher.Process) {
-	began := time.Now()
-	node := nodes[rand.IntN(len(nodes))]
-	a := call(node, method, "/reservas/"+name, name, "body of "+name)
-	took := time.Since(began)
-	defer time.Sleep(time.Millisecond)
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	l.answers[name] = a
-	l.slowest = max(l.slowest, took)
-	if took > time.Second {
-		l.late[name] = took
-	}
-}
-
-// verdict is what the callers and the targets counted.
-type verdict struct {
-	answered, notRun, unknown, broken int
 }
 
-// end stops the callers and checks what must always hold: no call ran twice,
-// none that was not run ran, and each answer is whole and the caller's own.
-func (l *load) end() verdict {
+// end stops the callers and fails the test for whatever must always hold and
+// did not.
+func (l *load) end() auditor.Report {
 	l.m.t.Helper()
-	l.stop.Store(true)
-	l.group.Wait()
-	runs := l.m.runs()
-	v := verdict{}
-	for name, a := range l.answers {
-		if strings.HasPrefix(name, http.MethodPost) && runs[name] > 1 {
-			l.m.t.Errorf("%s ran %d times", name, runs[name])
-		}
-		switch {
-		case a.err != nil:
-			v.broken++
-		case a.outcome == "answered" && a.status == http.StatusOK:
-			v.answered++
-			if a.call != name || a.body != name+" /reservas/"+name+"\nbody of "+name {
-				l.m.t.Errorf("%s got another's answer or a part: %+v", name, a)
-			}
-			if runs[name] == 0 {
-				l.m.t.Errorf("%s was answered and never ran", name)
-			}
-		case a.outcome == "not-run":
-			v.notRun++
-			l.m.t.Logf("%s was not run: %s", name, strings.TrimSpace(a.body))
-			if runs[name] > 0 {
-				l.m.t.Errorf("%s was said not to have run, and ran: %+v", name, a)
-			}
-		case a.outcome == "unknown":
-			v.unknown++
-			l.m.t.Logf("%s is unknown: %s", name, strings.TrimSpace(a.body))
-		default:
-			l.m.t.Errorf("%s has no outcome: %+v", name, a)
-		}
+	report, err := l.End(l.m.RunsFile())
+	l.m.is.NoErr(err)
+	for _, violation := range report.Violations {
+		l.m.t.Error(violation)
 	}
-	l.m.t.Logf("%d calls: %+v, slowest %s", len(l.answers), v, l.slowest)
-	return v
-}
-
-// runs returns how often each call ran, by the targets' notes.
-func (m *mesh) runs() map[string]int {
-	data, err := os.ReadFile(m.RunsFile())
-	m.is.NoErr(err)
-	runs := map[string]int{}
-	for _, name := range strings.Fields(string(data)) {
-		runs[name]++
+	for _, refusal := range report.Refusals {
+		l.m.t.Log(refusal)
 	}
-	return runs
+	l.m.t.Log(report)
+	return report
 }
 
 var busy = shape{
@@ -146,18 +72,13 @@
 		silenced += m.relayer.Silence(func(string, string) bool { return true })
 	}
 	time.Sleep(2 * time.Second)
-	l.lock.Lock()
-	settled := l.slowest
-	l.slowest = 0
-	l.lock.Unlock()
+	settled := l.TakeSlowest()
 	time.Sleep(time.Second)
-	l.lock.Lock()
-	after := l.slowest
-	l.lock.Unlock()
+	after := l.TakeSlowest()
 	v := l.end()
 	t.Logf("%d connections silenced, slowest call %s then %s", silenced, settled, after)
-	m.is.Equal(v.unknown, 0) // revoked over a new connection
-	m.is.Equal(v.broken, 0)
+	m.is.Equal(v.Unknown, 0) // revoked over a new connection
+	m.is.Equal(v.Broken, 0)
 	m.is.True(settled < 4*time.Second)
 	m.is.True(after < 500*time.Millisecond) // later calls pay nothing
 }
@@ -172,7 +93,7 @@
 		m.relayer.Reset(func(string, string) bool { return true })
 	}
 	v := l.end()
-	m.is.Equal(v.unknown, 0) // the target's node lives and knows
+	m.is.Equal(v.Unknown, 0) // the target's node lives and knows
 }
 
 // TestKilledNodesAndTargets kills nodes and targets under load. Calls that
@@ -194,8 +115,8 @@
 	}
 	posted := posts.end()
 	got := gets.end()
-	m.is.True(posted.answered > 100)
-	m.is.Equal(got.unknown+got.notRun+got.broken, 0) // others are tried again
+	m.is.True(posted.Answered > 100)
+	m.is.Equal(got.Unknown+got.NotRun+got.Broken, 0) // others are tried again
 }
 
 // TestRollingRestart restarts every node gracefully under load. No call is
@@ -224,9 +145,9 @@
 		m.until("the node is back", startTime, func() bool { return launcher.Ready(n.IP) })
 	}
 	v := l.end()
-	m.is.Equal(v.unknown, 0)
-	m.is.Equal(v.broken, 0)
-	m.is.Equal(v.notRun, 0)
+	m.is.Equal(v.Unknown, 0)
+	m.is.Equal(v.Broken, 0)
+	m.is.Equal(v.NotRun, 0)
 }
 
 // TestLeavingTargetGetsNoWork drains a node by the operators' command. Within
@@ -249,7 +170,7 @@
 		return false
 	})
 	v := l.end()
-	m.is.Equal(v.notRun+v.unknown+v.broken, 0)
+	m.is.Equal(v.NotRun+v.Unknown+v.Broken, 0)
 }
 
 // TestOverload offers more calls than all slots and queues hold. What is
@@ -264,6 +185,6 @@
 	l := m.startLoad(80, http.MethodPost, m.allNodes)
 	time.Sleep(3 * time.Second)
 	v := l.end()
-	m.is.True(v.notRun > 0)
-	m.is.Equal(v.unknown+v.broken, 0)
+	m.is.True(v.NotRun > 0)
+	m.is.Equal(v.Unknown+v.Broken, 0)
 }
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
 	"strings"
 	"testing"
@@ -14,9 +11,13 @@
 	"github.com/google/uuid"
 	"github.com/matryer/is"
 
+	"github.com/fireflymoor/fireflymoor/internal/auditor"
 	"github.com/fireflymoor/fireflymoor/internal/launcher"
 	"github.com/fireflymoor/fireflymoor/internal/relayer"
-	"github.com/fireflymoor/fireflymoor/internal/responder"
+
+	// The programs that the tests start are built from it, so a result that
+	// go test has cached must not outlive a change of it.
+	_ "github.com/fireflymoor/fireflymoor/internal/runner"
 	"github.com/fireflymoor/fireflymoor/pkg/administrator"
 )
 
@@ -72,6 +73,8 @@
 	services []string
 	delay    time.Duration
 	relay    bool
+	// window is how long idempotency keys are remembered, or 0.
+	window time.Duration
 }
 
 var lima = shape{
@@ -95,6 +98,8 @@
 		Zones:    s.zones,
 		Replicas: s.replicas,
 		Relay:    relay,
+
+		KeyWindow: s.window,
 	})
 	m := &mesh{
 		Cluster: cluster,
@@ -148,40 +153,15 @@
 		m.t.Errorf("%s did not stop", name)
 	}
 	for _, p := range append(append([]*launcher.Process{}, m.controls...), m.nodes...) {
-		log := p.Log()
-		for _, bad := range []string{"invariant: violated", "panic:", "DATA RACE"} {
-			if at := strings.Index(log, bad); at >= 0 {
-				m.t.Errorf("%s: %s", p.Name, log[max(0, at-500):min(len(log), at+3000)])
-			}
+		for _, violation := range auditor.CheckLog(p) {
+			m.t.Error(violation)
 		}
 	}
-	for _, p := range m.nodes {
-		m.checkNeverOlder(p)
-	}
 	if m.t.Failed() {
 		m.keepLogs()
 	}
 }
 
-// checkNeverOlder reads from a node's log, over all its restarts, that no
-// version was put in force after a newer one.
-func (m *mesh) checkNeverOlder(p *launcher.Process) {
-	last := uint64(0)
-	for _, line := range strings.Split(p.Log(), "\n") {
-		entry := struct {
-			Message string `json:"message"`
-			Version uint64 `json:"version"`
-		}{}
-		if json.Unmarshal([]byte(line), &entry) != nil || entry.Message != "config: in force" {
-			continue
-		}
-		if entry.Version < last {
-			m.t.Errorf("%s went from version %d back to %d", p.Name, last, entry.Version)
-		}
-		last = entry.Version
-	}
-}
-
 // keepLogs prints the ends of all logs of a failed test.
 func (m *mesh) keepLogs() {
 	for _, p := range append(append([]*launcher.Process{}, m.controls...), m.nodes...) {
@@ -250,44 +230,3 @@
 		return nodes == len(m.nodes)
 	})
 }
-
-// answer is what a caller got.
-type answer struct {
-	status  int
-	outcome string
-	target  string
-	call    string
-	body    string
-	err     error
-}
-
-var callers = &http.Client{
-	Timeout: 10 * time.Second,
-	Transport: &http.Transport{
-		MaxIdleConnsPerHost: 64,
-	},
-}
-
-func call(node *launcher.Process, method, path, name, body string) answer {
-	request, err := http.NewRequest(method, "http://"+launcher.CallersAddress(node.IP)+path, strings.NewReader(body))
-	if err != nil {
-		return answer{err: err}
-	}
-	request.Header.Set(responder.CallHeader, name)
-	response, err := callers.Do(request)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer func() {
-		_ = response.Body.Close()
-	}()
-	data, err := io.ReadAll(response.Body)
-	return answer{
-		status:  response.StatusCode,
-		outcome: response.Header.Get("Fireflymoor-Outcome"),
-		target:  response.Header.Get(responder.TargetHeader),
-		call:    response.Header.Get(responder.CallHeader),
-		body:    string(data),
-		err:     err,
-	}
-}
--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -173,12 +173,17 @@
 		m.change()
 	}
 	neighbour.Kill()
-	m.relayer.SetRules(func(string, string) relayer.Rule { return relayer.Rule{} })
+	m.relayer.SetRules(uncut)
 	m.is.NoErr(m.Restart(neighbour))
 	m.is.NoErr(m.Restart(node))
 	m.untilInForce(startTime)
 }
 
+// uncut lets everything pass.
+func uncut(string, string) relayer.Rule {
+	return relayer.Rule{}
+}
+
 // cutZone cuts an availability zone from all others.
 func (m *mesh) cutZone(zone int) {
 	m.relayer.SetRules(func(from, to string) relayer.Rule {
@@ -214,7 +219,7 @@
 		return err == nil
 	})
 	m.is.True(!launcher.Ready(node.IP)) // it waits for a quorum's word
-	m.relayer.SetRules(func(string, string) relayer.Rule { return relayer.Rule{} })
+	m.relayer.SetRules(uncut)
 	m.untilInForce(inForce)
 }
 
--- a/integration/garbage_test.go
+++ b/integration/garbage_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fireflymoor/fireflymoor/internal/auditor"
 	"github.com/fireflymoor/fireflymoor/internal/launcher"
 )
 
@@ -56,9 +57,9 @@
 	m.is.NoErr(err)
 	m.is.NoErr(response.Body.Close())
 	m.is.Equal(response.StatusCode, http.StatusUnauthorized)
-	a := call(node, http.MethodPost, "/reservas/x", "after", "body")
-	m.is.NoErr(a.err)
-	m.is.Equal(a.outcome, "answered")
+	a := auditor.Call(node, http.MethodPost, "/reservas/x", "after", "body")
+	m.is.NoErr(a.Err)
+	m.is.Equal(a.Outcome, "answered")
 	m.change()
 	m.untilInForce(inForce)
 }
--- a/integration/herd_test.go
+++ b/integration/herd_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/fireflymoor/fireflymoor/internal/launcher"
-	"github.com/fireflymoor/fireflymoor/internal/relayer"
 )
 
 // TestFrozenNodeIsSuspected freezes a node. Others stop picking its target
@@ -68,7 +67,7 @@
 	m.is.NoErr(m.Restart(restarted))
 	time.Sleep(2 * time.Second)
 	v := l.end()
-	m.is.Equal(v.broken+v.notRun, 0)
+	m.is.Equal(v.Broken+v.NotRun, 0)
 	for _, n := range m.nodes[1:] {
 		m.is.True(launcher.Ready(n.IP))
 	}
@@ -92,9 +91,9 @@
 	m.change()
 	time.Sleep(3 * time.Second)
 	cut, rest := inside.end(), outside.end()
-	m.is.True(cut.answered > 100)
-	m.is.True(rest.answered > 100)
-	m.relayer.SetRules(func(string, string) relayer.Rule { return relayer.Rule{} })
+	m.is.True(cut.Answered > 100)
+	m.is.True(rest.Answered > 100)
+	m.relayer.SetRules(uncut)
 	m.untilInForce(inForce)
 	m.until("every target is ready everywhere", inForce, func() bool {
 		for _, n := range m.nodes {
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"testing"
+
+	"github.com/fireflymoor/fireflymoor/internal/auditor"
 )
 
 // TestWholePath accepts a template, has it in force on every node, and calls
@@ -15,12 +17,12 @@
 		for _, service := range []string{"catalogo", "reservas", "cobros"} {
 			name := fmt.Sprintf("%s-%d", service, i)
 			body := "body of " + name
-			a := call(node, http.MethodPost, "/"+service+"/x", name, body)
-			m.is.NoErr(a.err)
-			m.is.Equal(a.status, http.StatusOK)
-			m.is.Equal(a.outcome, "answered")
-			m.is.Equal(a.call, name)
-			m.is.Equal(a.body, name+" /"+service+"/x\n"+body)
+			a := auditor.Call(node, http.MethodPost, "/"+service+"/x", name, body)
+			m.is.NoErr(a.Err)
+			m.is.Equal(a.Status, http.StatusOK)
+			m.is.Equal(a.Outcome, "answered")
+			m.is.Equal(a.Call, name)
+			m.is.Equal(a.Body, name+" /"+service+"/x\n"+body)
 		}
 	}
 	m.change()
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -64,6 +64,9 @@
 	Replicas int
 	// Level is the log level of all processes.
 	Level string
+	// KeyWindow is how long nodes remember idempotency keys, or 0 for the
+	// default.
+	KeyWindow time.Duration
 	// Relay is called for each address that other processes are told in
 	// place of the real one, so that a test can stand between. It may be nil.
 	Relay func(listen, to string) error
@@ -254,6 +257,9 @@
 		"team = %s\n[listen]\noverlay = %s\nplatform = %s\ncalls = %s\ncallers = %s\n[advertise]\noverlay = %s\ncalls = %s\n",
 		Team, Address(ip), PlatformAddress(ip), CallsAddress(ip), CallersAddress(ip),
 		c.reroute(Address(ip)), c.reroute(CallsAddress(ip)))
+	if c.spec.KeyWindow > 0 {
+		settings += fmt.Sprintf("[callers]\nkey-window = %s\n", c.spec.KeyWindow)
+	}
 	return c.start(name, ip, zoneName, settings, "node")
 }
 
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -14,6 +14,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/fireflymoor/fireflymoor/internal/labeler"
 )
 
 const (
@@ -27,18 +30,33 @@
 	spin = 1500 * time.Microsecond
 )
 
-// A Pacer makes GET calls to one address.
+// A Pacer makes calls to one address.
 type Pacer struct {
 	client *http.Client
 	url    string
 	rate   int
+	method string
+	keyed  bool
+}
+
+// Option sets what calls are like.
+type Option func(p *Pacer)
+
+// WithKeys makes POST calls, each with an idempotency key of its own, in
+// place of GET calls without.
+func WithKeys() Option {
+	return func(p *Pacer) {
+		p.method = http.MethodPost
+		p.keyed = true
+	}
 }
 
 // New returns a new Pacer of rate calls a second.
-func New(url string, rate int) *Pacer {
-	return &Pacer{
-		url:  url,
-		rate: rate,
+func New(url string, rate int, options ...Option) *Pacer {
+	p := &Pacer{
+		url:    url,
+		rate:   rate,
+		method: http.MethodGet,
 		client: &http.Client{
 			Timeout: callTimeout,
 			Transport: &http.Transport{
@@ -48,6 +66,10 @@
 			},
 		},
 	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
 // A Result is what a Pacer measured.
@@ -110,10 +132,13 @@
 }
 
 func (p *Pacer) call(ctx context.Context) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.url, http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, p.method, p.url, http.NoBody)
 	if err != nil {
 		return errors.Wrap(err, "pacer: request")
 	}
+	if p.keyed {
+		request.Header.Set(labeler.IdempotencyKey, uuid.NewString())
+	}
 	response, err := p.client.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "pacer: call")
