Read refusals to their end, and choose ports when connecting

Cause: a benchmark of calls that the second node refuses spent 97% of its time in bind. A refusal's body was not read, so each one closed its connection, and the next call dialed; the dialer binds the node's own address first, which has the system search a port that is free towards all addresses, through tens of thousands of connections just closed (31,174 in TIME-WAIT), until none is left. An overloaded or leaving node was dialed anew for each refusal.

Ruled out: the call's context cancelled before the body ended (answers reuse their connections in the same benchmark).

TestRefusalKeepsTheConnection: 50 connections for 50 refusals before, 1 after.

Conclusion: short refusals are read, and ports are chosen at connect (IP_BIND_ADDRESS_NO_PORT).

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -4,9 +4,11 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/fireflymoor/fireflymoor/internal/counter"
 )
@@ -45,10 +47,22 @@
 	dialer := &net.Dialer{
 		Timeout:   timeout,
 		LocalAddr: d.local,
+		Control:   bindLate,
 	}
 	return dialer.DialContext
 }
 
+// bindLate has the system choose the near end's port when the connection is
+// made. A port chosen before must be free towards all addresses, and the
+// search for one grows long when many connections have just been closed.
+func bindLate(_, _ string, conn syscall.RawConn) error {
+	var optionErr error
+	err := conn.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
+	})
+	return errors.CombineErrors(err, optionErr)
+}
+
 // Counter returns what counts control bytes.
 func (d *Dialer) Counter() *counter.Counter {
 	return d.count
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -38,6 +38,8 @@
 	// askTimeout is how long a node that does not answer is asked after a
 	// call whose connection broke.
 	askTimeout = 1500 * time.Millisecond
+	// maxDiscard is how much of a refusal is read, in bytes.
+	maxDiscard = 4 << 10
 )
 
 // RevokePath is where a node is asked what became of a call.
@@ -251,17 +253,24 @@
 	case fireflymoor.Answered.String():
 		return response, fireflymoor.Answered, nil
 	case fireflymoor.NotRun.String():
-		_ = response.Body.Close()
+		discard(response)
 		err := errors.Wrapf(fireflymoor.ErrBusy, "forwarder: %s", reason)
 		if response.Header.Get(labeler.Draining) != "" {
 			err = errors.Mark(err, fireflymoor.ErrDraining)
 		}
 		return nil, fireflymoor.NotRun, err
 	}
-	_ = response.Body.Close()
+	discard(response)
 	return nil, fireflymoor.Unknown, errors.Newf("forwarder: outcome unknown: %s", reason)
 }
 
+// discard reads a short answer to its end, so that its connection can be used
+// again.
+func discard(response *http.Response) {
+	_, _ = io.CopyN(io.Discard, response.Body, maxDiscard)
+	_ = response.Body.Close()
+}
+
 // cancellingBody ends a call's context once its answer has been read or left.
 type cancellingBody struct {
 	io.ReadCloser
--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,47 @@
+package forwarder
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/counter"
+	"github.com/fireflymoor/fireflymoor/internal/dialer"
+	"github.com/fireflymoor/fireflymoor/internal/labeler"
+)
+
+// TestRefusalKeepsTheConnection has a busy node refuse calls. Each goes over
+// the same connection: an overloaded node is not dialed for every refusal.
+func TestRefusalKeepsTheConnection(t *testing.T) {
+	is := is.New(t)
+	var opened atomic.Int64
+	busy := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
+		w.Header().Set(labeler.Outcome, fireflymoor.NotRun.String())
+		http.Error(w, "all slots are full", http.StatusServiceUnavailable)
+	}))
+	busy.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	busy.Start()
+	defer busy.Close()
+	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())))
+	for range 50 {
+		request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+		request.Header.Set(labeler.CallID, "call")
+		_, outcome, err := f.Forward(t.Context(), fireflymoor.Target{
+			Address: busy.Listener.Addr().String(),
+		}, request)
+		is.True(err != nil)
+		is.Equal(outcome, fireflymoor.NotRun)
+	}
+	is.Equal(opened.Load(), int64(1))
+}
--- /dev/null
+++ b/internal/runner/call_test.go
@@ -0,0 +1,192 @@
+package runner
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/balancer"
+	"github.com/fireflymoor/fireflymoor/internal/caller"
+	"github.com/fireflymoor/fireflymoor/internal/counter"
+	"github.com/fireflymoor/fireflymoor/internal/dialer"
+	"github.com/fireflymoor/fireflymoor/internal/ejector"
+	"github.com/fireflymoor/fireflymoor/internal/forwarder"
+	"github.com/fireflymoor/fireflymoor/internal/labeler"
+	"github.com/fireflymoor/fireflymoor/internal/limiter"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/receiver"
+	"github.com/fireflymoor/fireflymoor/internal/registrar"
+	"github.com/fireflymoor/fireflymoor/internal/retrier"
+	"github.com/fireflymoor/fireflymoor/internal/target"
+	"github.com/fireflymoor/fireflymoor/internal/tracker"
+)
+
+// fixedView is a view with one route to one target.
+type fixedView struct {
+	view fireflymoor.View
+}
+
+// View implements fireflymoor.Viewer.
+func (f *fixedView) View() fireflymoor.View {
+	return f.view
+}
+
+// callPath is the path of a call through two nodes, or one, in one process.
+type callPath struct {
+	direct  string
+	one     string
+	two     string
+	refused string
+}
+
+func newCallPath(b *testing.B) callPath {
+	answer := []byte("answer")
+	standIn := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(answer)
+	}))
+	b.Cleanup(standIn.Close)
+	log := zerolog.New(diode.NewWriter(io.Discard, logLines, 0, func(int) {}))
+	dial := dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry()))
+	registry := target.NewRegistry("far", time.Hour, log, func([]*messenger.Target) {})
+	registry.Announce(target.Announcement{
+		ID:      "target",
+		Service: "service",
+		Address: standIn.Listener.Addr().String(),
+		Slots:   1000,
+	}, time.Now())
+	local := target.NewServer(registry, dial)
+	far := serveBench(b, receiver.New(1, local, registrar.New(), log))
+	full := serveBench(b, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
+		receiver.Refuse(w, http.StatusServiceUnavailable, fireflymoor.NotRun, limiter.ErrFull.Error())
+	}))
+	handler := func(node, address string) http.Handler {
+		return caller.New(caller.Options{
+			Node: node,
+			Viewer: &fixedView{
+				view: benchView(address),
+			},
+			Balancer:  balancer.NewTwoChoices(),
+			Forwarder: forwarder.New(node, local, forwarder.NewRemote(dial)),
+			Tracker:   tracker.New("zone"),
+			Ejector:   ejector.New(),
+			Budget:    retrier.NewBudget(),
+			Metrics:   caller.NewMetrics(prometheus.NewRegistry()),
+			Log:       log,
+			Decisions: true,
+		})
+	}
+	return callPath{
+		direct:  standIn.URL + "/x",
+		one:     "http://" + serveBench(b, handler("far", far)) + "/x",
+		two:     "http://" + serveBench(b, handler("near", far)) + "/x",
+		refused: "http://" + serveBench(b, handler("near", full)) + "/x",
+	}
+}
+
+func benchView(address string) fireflymoor.View {
+	configuration := fireflymoor.NewConfiguration("team",
+		[]fireflymoor.Service{{
+			Name:  "service",
+			Slots: 1000,
+		}},
+		[]fireflymoor.Route{{
+			Name:       "route",
+			PathPrefix: "/",
+			Service:    "service",
+			Timeout:    10 * time.Second,
+			Retries:    2,
+			Idempotent: []string{http.MethodGet},
+			MaxBody:    1 << 20,
+		}},
+		fireflymoor.Limits{
+			RetryBudget: 20,
+			EjectShare:  30,
+		})
+	return fireflymoor.NewView(configuration.WithNumber(1), []fireflymoor.Target{{
+		ID:      "far/target",
+		Service: "service",
+		Node:    "far",
+		Boot:    1,
+		Zone:    "zone",
+		Team:    "team",
+		Address: address,
+		Slots:   1000,
+	}})
+}
+
+func serveBench(b *testing.B, handler http.Handler) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := server(handler)
+	go func() { _ = s.Serve(listener) }()
+	b.Cleanup(func() { _ = s.Close() })
+	return listener.Addr().String()
+}
+
+// BenchmarkCall makes calls to a target straight, through its own node, and
+// through two nodes, and calls that the second node refuses, all in one
+// process: one after another, and side by side.
+func BenchmarkCall(b *testing.B) {
+	path := newCallPath(b)
+	client := &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 256,
+			DisableCompression:  true,
+		},
+	}
+	var failed atomic.Int64
+	get := func(url string, status int) {
+		response, err := client.Get(url)
+		if err != nil {
+			failed.Add(1)
+			return
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode != status {
+			failed.Add(1)
+		}
+	}
+	defer func() {
+		if failed.Load() > 0 {
+			b.Errorf("%d calls failed", failed.Load())
+		}
+	}()
+	for _, way := range []struct {
+		name, url string
+		status    int
+	}{
+		{name: "direct", url: path.direct, status: http.StatusOK},
+		{name: "one-node", url: path.one, status: http.StatusOK},
+		{name: "two-nodes", url: path.two, status: http.StatusOK},
+		{name: "refused", url: path.refused, status: http.StatusServiceUnavailable},
+	} {
+		b.Run(way.name+"/one-by-one", func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				get(way.url, way.status)
+			}
+		})
+		b.Run(way.name+"/side-by-side", func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetParallelism(8)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					get(way.url, way.status)
+				}
+			})
+		})
+	}
+}
