Leave unchanged inputs out of the log, and never fill them in from a lagging replica

Cause, found while reading why a change of one value sent 14.7 KB out of a control replica with 110 services: the replica that the operator reached filled in what the request left out, and what had not changed, from its own state, and sent it all through the log. A change of values alone that named version 2 as its parent, through a replica that still held version 1, put version 1's template back. And a resend of such a change after others was rendered with what is accepted now, and got a fault, or "id reused", in place of its first answer.

Before, with the new tests on the old code: TestValuesOnlyOnALaggingReplica, TestResendOfValuesOnly and TestUnchangedInputsDoNotTravel fail. After: all pass, and the integration tests of changes.

Now a change says which of its parent's inputs stay; it takes effect on its parent only, so all replicas fill in the same. A partial change waits a second for its parent and is else refused as not taken; on a replaced parent it is not rendered, as it can only get its first answer or a conflict. A change id's digest is of what the operator gave.

--- /dev/null
+++ b/internal/operator/change_test.go
@@ -0,0 +1,173 @@
+package operator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/recorder"
+	"github.com/fireflymoor/fireflymoor/pkg/administrator"
+	"github.com/fireflymoor/fireflymoor/pkg/parser"
+	"github.com/fireflymoor/fireflymoor/pkg/renderer"
+)
+
+// twoReplicas are a leader and a replica that operators reach, which may lag.
+type twoReplicas struct {
+	Replica
+
+	leader *recorder.Recorder
+	near   *recorder.Recorder
+	behind []*messenger.Change
+	sent   *messenger.Change
+}
+
+func newTwoReplicas() *twoReplicas {
+	return &twoReplicas{
+		leader: recorder.New(),
+		near:   recorder.New(),
+	}
+}
+
+// Change implements Replica.
+func (r *twoReplicas) Change(_ context.Context, change *messenger.Change) (*messenger.ChangeRecord, error) {
+	r.sent = change
+	record, _ := r.leader.Apply(change)
+	r.behind = append(r.behind, change)
+	return record, nil
+}
+
+// Read implements Replica.
+func (r *twoReplicas) Read(_ context.Context, look func(accepted *recorder.Recorder)) error {
+	look(r.near)
+	return nil
+}
+
+// catchUp applies at the near replica what the leader has.
+func (r *twoReplicas) catchUp() {
+	for _, change := range r.behind {
+		r.near.Apply(change)
+	}
+	r.behind = nil
+}
+
+const (
+	firstTemplate  = "parameter n integer default=1\n---\n[service a]\nslots = {{ value \"n\" }}\n"
+	secondTemplate = "parameter n integer default=1\n---\n[service b]\nslots = {{ value \"n\" }}\n"
+	firstValues    = "[values]\nn = 1\n"
+	secondValues   = "[values]\nn = 2\n"
+)
+
+func change(id string, parent uint64, template, values string) administrator.ChangeRequest {
+	request := administrator.ChangeRequest{
+		Team:     "team",
+		ChangeID: id,
+		Parent:   parent,
+	}
+	if template != "" {
+		request.Template = &template
+	}
+	if values != "" {
+		request.Values = &values
+	}
+	return request
+}
+
+func newTestService(r Replica) *Service {
+	return NewService(r, renderer.New(parser.New()))
+}
+
+// newTestMesh returns two replicas that both hold a first version, and the
+// service at the near one.
+func newTestMesh(t *testing.T) (*twoReplicas, *Service) {
+	t.Helper()
+	r := newTwoReplicas()
+	s := newTestService(r)
+	_, err := s.change(t.Context(), change("1", 0, firstTemplate, firstValues))
+	is.New(t).NoErr(err)
+	r.catchUp()
+	return r, s
+}
+
+// TestValuesOnlyOnALaggingReplica changes the values alone, through a replica
+// that does not hold the parent yet. The parent's template stays; it does not
+// go back to the one that the replica holds.
+func TestValuesOnlyOnALaggingReplica(t *testing.T) {
+	is := is.New(t)
+	r, s := newTestMesh(t)
+	_, err := s.change(t.Context(), change("2", 1, secondTemplate, firstValues))
+	is.NoErr(err) // the near replica lags
+	_, err = s.change(t.Context(), change("3", 2, "", secondValues))
+	apiErr := &administrator.Error{}
+	is.True(errors.As(err, &apiErr))
+	is.Equal(apiErr.State, administrator.NotTaken)
+	r.catchUp()
+	_, err = s.change(t.Context(), change("3", 2, "", secondValues))
+	is.NoErr(err)
+	inputs, _ := r.leader.Inputs("team")
+	is.Equal(inputs, fireflymoor.Inputs{
+		Template: secondTemplate,
+		Values:   secondValues,
+	})
+	rendered, err := renderer.New(parser.New()).Render("team", inputs)
+	is.NoErr(err)
+	entry, _ := r.leader.Manifest().Team("team")
+	is.Equal(entry.Rendered, fireflymoor.HashOf(rendered.Text)) // what nodes will render
+}
+
+// TestResendOfValuesOnly sends a change of the values alone again after other
+// changes. It gets its first answer.
+func TestResendOfValuesOnly(t *testing.T) {
+	is := is.New(t)
+	r := newTwoReplicas()
+	s := newTestService(r)
+	for i, request := range []administrator.ChangeRequest{
+		change("1", 0, firstTemplate, firstValues),
+		change("2", 1, "", secondValues),
+		change("3", 2, "---\n[service c]\n", "[values]\n"),
+	} {
+		response, err := s.change(t.Context(), request)
+		is.NoErr(err)
+		is.Equal(response.Number, uint64(i+1))
+		r.catchUp()
+	}
+	response, err := s.change(t.Context(), change("2", 1, "", secondValues))
+	is.NoErr(err)
+	is.Equal(response.Number, uint64(2))
+	_, err = s.change(t.Context(), change("4", 1, "", secondValues))
+	apiErr := &administrator.Error{}
+	is.True(errors.As(err, &apiErr))
+	is.Equal(apiErr.Code, administrator.CodeConflict) // a new change on an old parent
+	is.Equal(apiErr.Parent, uint64(3))
+}
+
+// TestUnchangedInputsDoNotTravel gives the whole template again. Only the
+// values go through the log.
+func TestUnchangedInputsDoNotTravel(t *testing.T) {
+	is := is.New(t)
+	r, s := newTestMesh(t)
+	_, err := s.change(t.Context(), change("2", 1, firstTemplate, secondValues))
+	is.NoErr(err)
+	is.Equal(r.sent.GetTemplate(), "")
+	is.Equal(r.sent.GetValues(), secondValues)
+	r.catchUp()
+	is.Equal(r.near.Manifest().Hash(), r.leader.Manifest().Hash())
+	inputs, _ := r.near.Inputs("team")
+	is.Equal(inputs.Template, firstTemplate)
+}
+
+// TestUnknownParent names a parent that was never accepted, with all inputs:
+// it is a conflict, at once.
+func TestUnknownParent(t *testing.T) {
+	is := is.New(t)
+	began := time.Now()
+	_, err := newTestService(newTwoReplicas()).change(t.Context(), change("1", 7, firstTemplate, firstValues))
+	apiErr := &administrator.Error{}
+	is.True(errors.As(err, &apiErr))
+	is.Equal(apiErr.Code, administrator.CodeConflict)
+	is.True(time.Since(began) < parentTimeout)
+}
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -3,11 +3,9 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/pmezard/go-difflib/difflib"
 
 	"github.com/fireflymoor/fireflymoor"
@@ -15,12 +13,9 @@
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/recorder"
 	"github.com/fireflymoor/fireflymoor/pkg/administrator"
-	"github.com/fireflymoor/fireflymoor/pkg/parser"
 )
 
 const (
-	// changeTimeout bounds the wait for a change's outcome.
-	changeTimeout = 5 * time.Second
 	// historyLength is the number of changes in a history.
 	historyLength = 100
 	diffContext   = 3
@@ -58,75 +53,23 @@
 	}
 }
 
-func (s *Service) change(ctx context.Context, request administrator.ChangeRequest) (administrator.ChangeResponse, error) {
-	if request.ChangeID == "" {
-		request.ChangeID = uuid.NewString()
-	}
-	if !parser.ValidName(request.Team) {
-		return administrator.ChangeResponse{}, invalid("team", "the team's name is not in kebab case")
-	}
-	_, inputs, err := s.fill(ctx, request)
-	if err != nil {
-		return administrator.ChangeResponse{}, err
-	}
-	rendered, err := s.renderer.Render(request.Team, inputs)
-	if err != nil {
-		return administrator.ChangeResponse{}, faulty(err)
-	}
-	hash := fireflymoor.HashOf(rendered.Text)
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
-	record, err := s.replica.Change(ctx, &messenger.Change{
-		Id:               request.ChangeID,
-		Team:             request.Team,
-		Parent:           request.Parent,
-		Operator:         operatorOf(ctx),
-		Template:         inputs.Template,
-		Values:           inputs.Values,
-		RenderedHash:     hash[:],
-		UnixMilliseconds: time.Now().UnixMilli(),
-	})
-	if err != nil {
-		return administrator.ChangeResponse{}, changeError(err)
-	}
-	if record.GetConflict() {
-		return administrator.ChangeResponse{}, &administrator.Error{
-			Code:   administrator.CodeConflict,
-			State:  administrator.NotTaken,
-			Step:   "accept",
-			Reason: "the team's version is not the parent; render again on it",
-			Parent: record.GetActualParent(),
-		}
-	}
-	return administrator.ChangeResponse{
-		Number: record.GetNumber(),
-		Hash:   hex.EncodeToString(record.GetHash()),
-	}, nil
-}
-
-// fill takes what a request leaves out from the accepted inputs.
-func (s *Service) fill(ctx context.Context, request administrator.ChangeRequest) (fireflymoor.TeamEntry, fireflymoor.Inputs, error) {
+// accepted returns what is accepted for a team.
+func (s *Service) accepted(ctx context.Context, team string) (fireflymoor.TeamEntry, fireflymoor.Inputs, error) {
 	entry := fireflymoor.TeamEntry{}
 	inputs := fireflymoor.Inputs{}
 	err := s.replica.Read(ctx, func(accepted *recorder.Recorder) {
-		entry, _ = accepted.Manifest().Team(request.Team)
-		inputs, _ = accepted.Inputs(request.Team)
+		entry, _ = accepted.Manifest().Team(team)
+		inputs, _ = accepted.Inputs(team)
 	})
-	if request.Template != nil {
-		inputs.Template = *request.Template
-	}
-	if request.Values != nil {
-		inputs.Values = *request.Values
-	}
 	return entry, inputs, err
 }
 
 func (s *Service) render(ctx context.Context, request administrator.ChangeRequest) (administrator.RenderResponse, error) {
-	entry, inputs, err := s.fill(ctx, request)
+	entry, before, err := s.accepted(ctx, request.Team)
 	if err != nil {
 		return administrator.RenderResponse{}, err
 	}
-	rendered, err := s.renderer.Render(request.Team, inputs)
+	rendered, err := s.renderer.Render(request.Team, given(request, before))
 	if err != nil {
 		return administrator.RenderResponse{}, faulty(err)
 	}
@@ -153,9 +96,7 @@
 }
 
 func (s *Service) team(ctx context.Context, name string) (administrator.Team, error) {
-	entry, inputs, err := s.fill(ctx, administrator.ChangeRequest{
-		Team: name,
-	})
+	entry, inputs, err := s.accepted(ctx, name)
 	if err != nil {
 		return administrator.Team{}, err
 	}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -35,10 +35,11 @@
 	}
 }
 
-// Digest sums up what a change asks for, so that a change id that is used
-// again for something else is found.
+// Digest sums up what an operator asked for, so that a change id that is used
+// again for something else is found. It does not depend on what was accepted
+// when the change was sent.
 func Digest(c *messenger.Change) []byte {
-	sum := sha256.Sum256(fmt.Appendf(nil, "%q %d %q %q", c.GetTeam(), c.GetParent(), c.GetTemplate(), c.GetValues()))
+	sum := sha256.Sum256(fmt.Appendf(nil, "%q %d %x %x", c.GetTeam(), c.GetParent(), c.GetTemplateHash(), c.GetValuesHash()))
 	return sum[:]
 }
 
@@ -72,16 +73,20 @@
 
 func (r *Recorder) accept(c *messenger.Change) {
 	rendered, _ := fireflymoor.HashFrom(c.GetRenderedHash())
+	inputs := r.inputs[c.GetTeam()]
+	if !c.GetKeepTemplate() {
+		inputs.Template = c.GetTemplate()
+	}
+	if !c.GetKeepValues() {
+		inputs.Values = c.GetValues()
+	}
 	r.manifest = r.manifest.With(fireflymoor.TeamEntry{
 		Team:     c.GetTeam(),
-		Template: fireflymoor.HashOf(c.GetTemplate()),
-		Values:   fireflymoor.HashOf(c.GetValues()),
+		Template: fireflymoor.HashOf(inputs.Template),
+		Values:   fireflymoor.HashOf(inputs.Values),
 		Rendered: rendered,
 	})
-	r.inputs[c.GetTeam()] = fireflymoor.Inputs{
-		Template: c.GetTemplate(),
-		Values:   c.GetValues(),
-	}
+	r.inputs[c.GetTeam()] = inputs
 }
 
 func (r *Recorder) keep(record *messenger.ChangeRecord) {
