Do not follow a keeper that knows fewer keepers

Cause, found by reading: a claim follows the keepers to where they believe that its key belongs. A node that has met nobody yet believes in itself alone, and its word made a majority of one. A set smaller than the asker's own is not followed now.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -117,7 +117,8 @@
 			if answer != nil || err != nil {
 				return nil, answer, err
 			}
-		case r.moved != nil && moves < maxMoves:
+		case len(r.moved) >= len(keepers) && moves < maxMoves:
+			// A node that knows fewer keepers has not met the others yet.
 			moves++
 			keepers = r.moved
 			continue
