Balance by the proxy's own calls, and take the told load for a hint

All nodes believed the last word for a second and sent the slow target four times what it serves; its refusals ate the retry budget.

Ruled out: the retry budget itself (calls were lost only where the load was late or false) and ejection (refusals rightly do not eject).

Now a target costs its own latency here (an average of the latest calls, which fades without calls, so that a slow one is tried again) times the calls that share its slots; the told load counts at most for 0.2 s and as a factor. A refusal marks a target as full for as long. Full targets are passed over; the own zone goes first unless it costs three times more than another.

Beside it: the ring of claim keepers is made anew when members change and not each second, which doubled the slope of a node's memory; a member whose fact runs out counts as a change.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -193,14 +193,18 @@
 	return next
 }
 
-// Expire drops the facts of members that have been gone for long.
-func (a *Announcer) Expire(now time.Time) {
+// Expire drops the facts of members that have been gone for long, and reports
+// whether there were any.
+func (a *Announcer) Expire(now time.Time) bool {
+	dropped := false
 	for name, h := range a.facts {
 		gone := h.fact.GetState() != messenger.MemberState_MEMBER_ALIVE
 		if gone && name != a.self && now.Sub(h.changed) > tombstoneLife {
 			a.drop(name)
+			dropped = true
 		}
 	}
+	return dropped
 }
 
 // Nodes returns the facts of all nodes but those that left longer ago than a
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -9,24 +9,30 @@
 )
 
 const (
-	// full is the load above which a zone's target counts as full.
+	// full is the load from which a target counts as full.
 	full = 1.0
 	// leastWeight keeps a cold target from getting no work at all.
 	leastWeight = 0.05
+	// farCost is how many times more a target of the own zone may cost than
+	// one elsewhere and still be picked.
+	farCost = 3
 )
 
 // The reasons for a pick.
 const (
 	ReasonLocal = "lower of two in the zone"
-	ReasonSpill = "zone is full, lower of two elsewhere"
+	ReasonSpill = "zone is full or slow, lower of two elsewhere"
+	ReasonFull  = "all are full, lowest of those looked at"
 	ReasonOnly  = "only candidate"
 )
 
 type twoChoices struct{}
 
 // NewTwoChoices returns a new fireflymoor.Balancer that takes two random
-// targets of the own availability zone and picks the one with less load, and
-// spills over to other zones when the zone is full.
+// targets of the own availability zone and picks the one that costs less, and
+// spills over to other zones when the zone is full or much slower. What a
+// target costs is by the proxy's own calls, how many and how long; the load
+// that the target tells is a hint.
 func NewTwoChoices() fireflymoor.Balancer {
 	return twoChoices{}
 }
@@ -37,55 +43,64 @@
 		return fireflymoor.Pick{}, false
 	}
 	if len(candidates) == 1 {
-		return fireflymoor.Pick{
-			Target: candidates[0].Target,
-			Reason: ReasonOnly,
-		}, true
+		return pick(&candidates[0], ReasonOnly), true
 	}
-	if best := lowerOfTwo(candidates, true); best != nil && score(best) < full {
-		return fireflymoor.Pick{
-			Target: best.Target,
-			Reason: ReasonLocal,
-		}, true
+	base := leastLatency(candidates)
+	near := lowerOfTwo(candidates, true, false, base)
+	far := lowerOfTwo(candidates, false, false, base)
+	switch {
+	case near != nil && (far == nil || cost(near, base) <= farCost*cost(far, base)):
+		return pick(near, ReasonLocal), true
+	case far != nil:
+		return pick(far, ReasonSpill), true
 	}
-	return spill(candidates), true
+	near = lowerOfTwo(candidates, true, true, base)
+	far = lowerOfTwo(candidates, false, true, base)
+	if near == nil || (far != nil && cost(far, base) < cost(near, base)) {
+		near = far
+	}
+	return pick(near, ReasonFull), true
 }
 
-// spill picks elsewhere; when all is full, the lower of any two will do.
-func spill(candidates []fireflymoor.Candidate) fireflymoor.Pick {
-	best := lowerOfTwo(candidates, false)
-	local := lowerOfTwo(candidates, true)
-	reason := ReasonSpill
-	if best == nil || (local != nil && score(local) <= score(best)) {
-		best = local
-		reason = ReasonLocal
-	}
+func pick(c *fireflymoor.Candidate, reason string) fireflymoor.Pick {
 	return fireflymoor.Pick{
-		Target: best.Target,
+		Target: c.Target,
 		Reason: reason,
 	}
 }
 
-// lowerOfTwo returns the less loaded of two random candidates that are, or
-// are not, local.
-func lowerOfTwo(candidates []fireflymoor.Candidate, local bool) *fireflymoor.Candidate {
-	first := choose(candidates, local, -1)
+// leastLatency returns the least latency that is known, or 0.
+func leastLatency(candidates []fireflymoor.Candidate) time.Duration {
+	least := time.Duration(0)
+	for i := range candidates {
+		latency := candidates[i].Latency
+		if latency > 0 && (least == 0 || latency < least) {
+			least = latency
+		}
+	}
+	return least
+}
+
+// lowerOfTwo returns the one that costs less of two random candidates that
+// are, or are not, local and full.
+func lowerOfTwo(candidates []fireflymoor.Candidate, local, full bool, base time.Duration) *fireflymoor.Candidate {
+	first := choose(candidates, local, full, -1)
 	if first < 0 {
 		return nil
 	}
-	second := choose(candidates, local, first)
-	if second >= 0 && score(&candidates[second]) < score(&candidates[first]) {
+	second := choose(candidates, local, full, first)
+	if second >= 0 && cost(&candidates[second], base) < cost(&candidates[first], base) {
 		first = second
 	}
 	return &candidates[first]
 }
 
 // choose returns a random matching index other than except, or -1.
-func choose(candidates []fireflymoor.Candidate, local bool, except int) int {
+func choose(candidates []fireflymoor.Candidate, local, full bool, except int) int {
 	chosen := -1
 	seen := 0
 	for i := range candidates {
-		if i == except || candidates[i].Local != local {
+		if i == except || candidates[i].Local != local || isFull(&candidates[i]) != full {
 			continue
 		}
 		seen++
@@ -96,11 +111,21 @@
 	return chosen
 }
 
-// score is the load that a target would have by what is known: the greater of
-// this proxy's own calls and what the target last said, over its weight.
-func score(c *fireflymoor.Candidate) float64 {
-	own := float64(c.InFlight) / float64(max(c.Target.Slots, 1))
-	return max(own, c.Load) / max(c.Weight, leastWeight)
+// isFull says whether a target has no slot left, as far as is known.
+func isFull(c *fireflymoor.Candidate) bool {
+	return c.InFlight >= max(c.Target.Slots, 1) || c.Load >= full
+}
+
+// cost is the time that one more call would take at a target in proportion to
+// the others: its latency, times the calls that share its slots. A target
+// that is not known yet is taken to be as fast as the fastest.
+func cost(c *fireflymoor.Candidate, base time.Duration) float64 {
+	latency := 1.0
+	if c.Latency > 0 {
+		latency = float64(c.Latency) / float64(base)
+	}
+	share := float64(c.InFlight+1) / float64(max(c.Target.Slots, 1))
+	return latency * share * (1 + c.Load) / max(c.Weight, leastWeight)
 }
 
 type roundRobin struct {
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -10,18 +10,27 @@
 	"github.com/fireflymoor/fireflymoor"
 )
 
+const usual = 20 * time.Millisecond
+
 func candidate(id string, load float64, weight float64, local bool) fireflymoor.Candidate {
 	return fireflymoor.Candidate{
 		Target: fireflymoor.Target{
 			ID:    id,
 			Slots: 20,
 		},
-		Load:   load,
-		Weight: weight,
-		Local:  local,
+		Load:    load,
+		Latency: usual,
+		Weight:  weight,
+		Local:   local,
 	}
 }
 
+// slow returns a candidate whose calls take four times as long as the usual.
+func slow(c fireflymoor.Candidate) fireflymoor.Candidate {
+	c.Latency = 4 * usual
+	return c
+}
+
 // TestTwoChoices has the cases of a pick, each with the targets that may be
 // picked.
 func TestTwoChoices(t *testing.T) {
@@ -66,6 +75,28 @@
 			},
 			allowed: "b",
 		},
+		{
+			name: "the fast one of two, although it says that it is busier",
+			candidates: []fireflymoor.Candidate{
+				slow(candidate("a", 0, 1, true)), candidate("b", 0.9, 1, true),
+			},
+			allowed: "b",
+		},
+		{
+			name: "others when the zone is much slower",
+			candidates: []fireflymoor.Candidate{
+				slow(candidate("a", 0, 1, true)), slow(candidate("b", 0, 1, true)), candidate("c", 0.1, 1, false),
+			},
+			allowed: "c",
+		},
+		{
+			name: "the one of three in the zone that is not full",
+			candidates: []fireflymoor.Candidate{
+				candidate("a", 1, 1, true), candidate("b", 1, 1, true), candidate("c", 0.5, 1, true),
+				candidate("d", 0, 1, false),
+			},
+			allowed: "c",
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -227,6 +227,7 @@
 		return nil, outcome, err
 	}
 	h.options.Ejector.Succeeded(pick.Target.ID)
+	h.options.Tracker.Answered(pick.Target, time.Since(now), time.Now())
 	if load, known := labeler.TakeLoad(response.Header); known {
 		h.options.Tracker.SetLoad(pick.Target, load, time.Now())
 	}
@@ -249,6 +250,7 @@
 		h.options.Ejector.Left(target.ID, time.Now())
 		return
 	case errors.Is(err, fireflymoor.ErrBusy):
+		h.options.Tracker.Refused(target, time.Now())
 		return
 	}
 	h.options.Ejector.Failed(target.ID, time.Now())
--- a/internal/coordinator/keep.go
+++ b/internal/coordinator/keep.go
@@ -48,7 +48,9 @@
 	c.probe(now)
 	if now.After(c.expireDue) {
 		c.expireDue = now.Add(expireInterval)
-		c.announcer.Expire(now)
+		if c.announcer.Expire(now) {
+			c.options.Watcher.MembersChanged()
+		}
 	}
 }
 
--- a/internal/runner/claims.go
+++ b/internal/runner/claims.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// ringInterval is how often the ring of claim keepers is made anew, as
-	// members that left fall out of it with time.
+	// ringInterval is how often the ring of claim keepers is made anew while
+	// members that left are in it.
 	ringInterval = time.Second
 	// firstSyncWait is the wait after the first try to complete the claims,
 	// and doubles up to a share of the window: after a start of the whole
@@ -39,6 +39,9 @@
 	table   *claimer.Table
 	claimer *claimer.Claimer
 	ring    atomic.Pointer[claimer.Ring]
+	// leaving says that a member of the ring has left, and is to fall out of
+	// it with time. It belongs to the sequencer.
+	leaving bool
 }
 
 func newClaims(settings loader.Settings, client *neighbour.Client) *claims {
@@ -57,7 +60,9 @@
 // sequencer.
 func (c *claims) setMembers(facts []*messenger.Fact) {
 	members := make([]claimer.Member, 0, len(facts))
+	c.leaving = false
 	for _, f := range facts {
+		c.leaving = c.leaving || f.GetState() == messenger.MemberState_MEMBER_LEFT
 		members = append(members, claimer.Member{
 			Name:      f.GetName(),
 			Zone:      f.GetZone(),
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -142,7 +142,7 @@
 	group.Go(func() { n.confirm(working) })
 	group.Go(func() { n.sequencer.Every(working, reportInterval, func() { n.report(working) }) })
 	group.Go(func() { n.expireLeases(working) })
-	group.Go(func() { n.sequencer.Every(working, ringInterval, n.makeRing) })
+	group.Go(func() { n.sequencer.Every(working, ringInterval, n.thinRing) })
 	group.Go(func() { n.claims.complete(working, n.log) })
 	n.log.Info().Str("zone", n.settings.Zone).Str("team", n.settings.Team).Msg("process: node started")
 	<-ctx.Done()
@@ -260,6 +260,13 @@
 	n.makeRing()
 }
 
+// thinRing drops the members from the ring that left long enough ago.
+func (n *node) thinRing() {
+	if n.claims.leaving {
+		n.makeRing()
+	}
+}
+
 // makeRing makes the ring that claims are kept among anew.
 func (n *node) makeRing() {
 	n.claims.setMembers(n.coordinator.Announcer().Nodes(time.Now(), n.settings.KeyWindow))
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -11,8 +11,17 @@
 	"github.com/fireflymoor/fireflymoor"
 )
 
-// loadLife is how long a target's last word on its load is believed.
-const loadLife = time.Second
+const (
+	// loadLife is how long a target's last word on its load is believed.
+	loadLife = 200 * time.Millisecond
+	// full is the load of a target that refused a call.
+	full = 1.0
+	// latencyShare is the share of the newest call in a target's latency.
+	latencyShare = 0.2
+	// latencyHalfLife is the time without calls after which a target is
+	// taken to be twice as fast, so that one that was slow is tried again.
+	latencyHalfLife = 2 * time.Second
+)
 
 // A Tracker tracks targets by id and boot.
 type Tracker struct {
@@ -30,6 +39,8 @@
 	inFlight atomic.Int64
 	load     atomic.Uint64
 	loadAt   atomic.Int64
+	latency  atomic.Int64
+	tookAt   atomic.Int64
 }
 
 // New returns a new Tracker for a proxy in a zone.
@@ -64,11 +75,37 @@
 
 // SetLoad notes the load that a target's answer carried.
 func (t *Tracker) SetLoad(target fireflymoor.Target, load float64, now time.Time) {
-	e := t.entry(target, now)
+	t.entry(target, now).setLoad(load, now)
+}
+
+func (e *entry) setLoad(load float64, now time.Time) {
 	e.load.Store(math.Float64bits(load))
 	e.loadAt.Store(now.UnixNano())
 }
 
+// Refused notes that a target had no slot for a call.
+func (t *Tracker) Refused(target fireflymoor.Target, now time.Time) {
+	t.entry(target, now).setLoad(full, now)
+}
+
+// Answered notes how long a call to a target took.
+func (t *Tracker) Answered(target fireflymoor.Target, took time.Duration, now time.Time) {
+	e := t.entry(target, now)
+	before := e.latency.Load()
+	next := int64(took)
+	if before > 0 {
+		next = int64(float64(before)*(1-latencyShare) + float64(took)*latencyShare)
+	}
+	e.latency.Store(next)
+	e.tookAt.Store(now.UnixNano())
+}
+
+// latencyNow returns the latency of a target, less the longer ago it was seen.
+func (e *entry) latencyNow(now time.Time) time.Duration {
+	age := float64(now.UnixNano() - e.tookAt.Load())
+	return time.Duration(float64(e.latency.Load()) * math.Exp2(-age/float64(latencyHalfLife)))
+}
+
 // Candidate returns a target with its load. Its weight grows over slowStart
 // from when this proxy first saw it.
 func (t *Tracker) Candidate(target fireflymoor.Target, slowStart time.Duration, now time.Time) fireflymoor.Candidate {
@@ -85,6 +122,7 @@
 		Target:   target,
 		InFlight: int(e.inFlight.Load()),
 		Load:     load,
+		Latency:  e.latencyNow(now),
 		Weight:   weight,
 		Local:    target.Zone == t.zone,
 	}
--- a/view.go
+++ b/view.go
@@ -1,6 +1,9 @@
 package fireflymoor
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // TargetState is what is known of a target.
 type TargetState int
@@ -89,9 +92,12 @@
 	Target Target
 	// InFlight is the number of this proxy's calls at the target.
 	InFlight int
-	// Load is the share of the target's slots in use when it last answered,
-	// from 0 to 1.
+	// Load is the share of the target's slots in use when it last answered
+	// or refused, more than 1 while calls wait. It is a hint, and 0 when old.
 	Load float64
+	// Latency is how long this proxy's own calls have taken there lately, or
+	// 0 if there were none.
+	Latency time.Duration
 	// Weight is the share of a full target's work that it should get, above
 	// 0 and up to 1.
 	Weight float64
