Give up connections between nodes before their silence can cost late calls

Idle connections were kept for 5 s. Since calls go by cost, a node may not be called for two seconds, and the next call then met a connection that had gone silent before; 0.7 s of silence and the question after it make up the 713 ms.

Ruled out: the question itself (no call ended unknown, none broken; the slowest call while connections went silent took 1.4 s, within its 4 s).

Before: TestIdleConnectionIsGivenUp fails with 5 s. After, with 1.2 s (1.2 and 0.7 are within the 2 s): it passes, and TestSilentConnections five times.

A pair of nodes with less than one call in 1.2 s pays for a new connection with each.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -24,7 +24,10 @@
 const (
 	connections = 256
 	dialTimeout = 300 * time.Millisecond
-	idleTimeout = 5 * time.Second
+	// idleTimeout is how long a connection that no call uses is kept. It may go
+	// silent unseen: a call that is caught on it is found out by silence, and
+	// both together are less than two seconds.
+	idleTimeout = 1200 * time.Millisecond
 	// silence is how long a call waits before the target's node is asked
 	// after it over a new connection.
 	silence = 700 * time.Millisecond
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
@@ -45,3 +46,43 @@
 	}
 	is.Equal(opened.Load(), int64(1))
 }
+
+// silentCost is how long a connection that went silent may cost calls.
+const silentCost = 2 * time.Second
+
+// TestIdleConnectionIsGivenUp leaves a connection idle. It is not used again,
+// as it may have gone silent: the time that it is kept and the time until a
+// call on it is asked after are together within the bound.
+func TestIdleConnectionIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	is.True(idleTimeout+silence < silentCost)
+	var opened, closed atomic.Int64
+	node := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
+		w.Header().Set(labeler.Outcome, fireflymoor.Answered.String())
+	}))
+	node.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			opened.Add(1)
+		case http.StateClosed:
+			closed.Add(1)
+		}
+	}
+	node.Start()
+	defer node.Close()
+	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())))
+	request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+	request.Header.Set(labeler.CallID, "call")
+	response, _, err := f.Forward(t.Context(), fireflymoor.Target{
+		Address: node.Listener.Addr().String(),
+	}, request)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	began := time.Now()
+	for closed.Load() == 0 && time.Since(began) < silentCost-silence {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(opened.Load(), int64(1))
+	is.Equal(closed.Load(), int64(1))
+}
