--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -156,6 +156,7 @@
 	group.Go(func() { c.coordinator.Run(working) })
 	group.Go(func() { c.controller.Run(working) })
 	group.Go(func() { c.transport.Run(working) })
+	group.Go(func() { c.closeIdle(working) })
 	c.log.Info().Str("zone", c.settings.Zone).Str("disk", c.keeper.Disk()).Msg("process: control replica started")
 	<-ctx.Done()
 	c.shutdown(c.operators)
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -33,6 +33,8 @@
 	// idleTimeout must be shorter than a refusal of the registrar holds.
 	idleTimeout = time.Minute
 	maxHead     = 64 << 10
+	// idleInterval is how often idle connections are looked over.
+	idleInterval = time.Second
 	// logLines is the number of log lines that may wait to be written. Calls
 	// do not wait for the log.
 	logLines = 8192
@@ -135,6 +137,14 @@
 	}, time.Now())
 }
 
+// closeIdle closes the connections that no call uses, until ctx ends.
+func (m *member) closeIdle(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, idleInterval)
+		m.client.Expire()
+	}
+}
+
 // server returns an HTTP server with bounds on what a client may do.
 func server(handler http.Handler) *http.Server {
 	return &http.Server{
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -142,6 +142,7 @@
 	group.Go(func() { n.confirm(working) })
 	group.Go(func() { n.sequencer.Every(working, reportInterval, func() { n.report(working) }) })
 	group.Go(func() { n.expireLeases(working) })
+	group.Go(func() { n.closeIdle(working) })
 	group.Go(func() { n.sequencer.Every(working, ringInterval, n.thinRing) })
 	group.Go(func() { n.claims.complete(working, n.log) })
 	n.log.Info().Str("zone", n.settings.Zone).Str("team", n.settings.Team).Msg("process: node started")
