--- a/cmd/fireflybench/chaos.go
+++ b/cmd/fireflybench/chaos.go
@@ -253,7 +253,7 @@
 		}
 	}
 	targets, err := f.client.Targets(ctx)
-	if err != nil || len(targets) != len(f.apart) {
+	if err != nil || len(targets) != len(f.nodes) {
 		return false
 	}
 	for _, t := range targets {
--- a/cmd/fireflybench/herd.go
+++ b/cmd/fireflybench/herd.go
@@ -143,21 +143,7 @@
 	if err != nil || !status.InForce(f.version) {
 		return false
 	}
-	targets, err := f.client.Targets(ctx)
-	if err != nil || len(targets) != len(f.nodes) {
-		return false
-	}
-	for _, t := range targets {
-		if t.State != "ready" {
-			return false
-		}
-	}
-	for _, n := range f.nodes {
-		if !launcher.Ready(n.IP) {
-			return false
-		}
-	}
-	return true
+	return f.allReady(ctx)
 }
 
 // readAll reads what the processes that match have used. The others are read
