--- a/cmd/fireflybench/decide.go
+++ b/cmd/fireflybench/decide.go
@@ -19,6 +19,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/balancer"
 	"github.com/fireflymoor/fireflymoor/internal/caller"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
+	"github.com/fireflymoor/fireflymoor/internal/labeler"
 	"github.com/fireflymoor/fireflymoor/internal/pacer"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
@@ -261,7 +262,8 @@
 			EjectShare:  d.ejectShare,
 		}).WithNumber(1)
 	return caller.New(caller.Options{
-		Node: "node",
+		Node:    "node",
+		Dialect: labeler.NewDialect(),
 		Viewer: &standInView{
 			targets:       targets,
 			configuration: configuration,
--- a/cmd/fireflymoor/main.go
+++ b/cmd/fireflymoor/main.go
@@ -18,6 +18,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/runner"
 	"github.com/fireflymoor/fireflymoor/pkg/administrator"
+	"github.com/fireflymoor/fireflymoor/platform"
 )
 
 // The exit statuses.
@@ -49,25 +50,43 @@
 	Replica  replicaCommand  `cmd:"" help:"Care for the control replicas."`
 }
 
+// adapters are the ways for a process to speak with what is around it.
+type adapters struct {
+	Platform bool `help:"Speak the users' platform's protocol with callers, targets and operators."`
+}
+
+func (a adapters) options() []runner.Option {
+	if !a.Platform {
+		return nil
+	}
+	return []runner.Option{
+		runner.WithAdapter(func(settings loader.Settings, log zerolog.Logger) runner.Adapter {
+			return platform.New(settings, log)
+		}),
+	}
+}
+
 type controlCommand struct {
+	adapters
 	Settings string `arg:"" help:"File of settings."`
 }
 
 // Run runs the command.
 func (c *controlCommand) Run(ctx context.Context) error {
-	return run(ctx, c.Settings, loader.RoleControl)
+	return run(ctx, c.Settings, loader.RoleControl, c.options())
 }
 
 type nodeCommand struct {
+	adapters
 	Settings string `arg:"" help:"File of settings."`
 }
 
 // Run runs the command.
 func (c *nodeCommand) Run(ctx context.Context) error {
-	return run(ctx, c.Settings, loader.RoleNode)
+	return run(ctx, c.Settings, loader.RoleNode, c.options())
 }
 
-func run(ctx context.Context, path, role string) error {
+func run(ctx context.Context, path, role string, options []runner.Option) error {
 	settings, err := loader.Load(path)
 	if err != nil {
 		return err
@@ -75,18 +94,18 @@
 	if settings.Role != role {
 		return errors.Newf("settings: the role is %s, and the command is %s", settings.Role, role)
 	}
-	process, err := newProcess(settings, os.Stdout)
+	process, err := newProcess(settings, os.Stdout, options...)
 	if err != nil {
 		return err
 	}
 	return process.Run(ctx)
 }
 
-func newProcess(settings loader.Settings, out io.Writer) (fireflymoor.Process, error) {
+func newProcess(settings loader.Settings, out io.Writer, options ...runner.Option) (fireflymoor.Process, error) {
 	if settings.Role == loader.RoleControl {
-		return runner.NewControl(settings, out)
+		return runner.NewControl(settings, out, options...)
 	}
-	return runner.NewNode(settings, out)
+	return runner.NewNode(settings, out, options...)
 }
 
 type checkCommand struct {
--- a/configuration.go
+++ b/configuration.go
@@ -1,6 +1,7 @@
 package fireflymoor
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -17,6 +18,23 @@
 	Queue int
 	// SlowStart is how long a new target gets less than its share.
 	SlowStart time.Duration
+	// HealthPath is where a target of the service says whether it is well, or
+	// empty.
+	HealthPath string
+	// Connections is the number of connections that one target accepts, or 0
+	// if that is not known.
+	Connections int
+}
+
+// AnyMethod stands for all methods among those of a route.
+const AnyMethod = "*"
+
+// A Share is one service's part of a route's calls.
+type Share struct {
+	// Service is the name of the service.
+	Service string
+	// Weight is the part, in proportion to the other shares of the route.
+	Weight float64
 }
 
 // A Route leads calls to a service.
@@ -28,14 +46,23 @@
 	// PathPrefix is matched against the start of the call's path, at a
 	// segment's end.
 	PathPrefix string
-	// Service is the name of the service the route leads to.
+	// Service is the name of the service the route leads to, or empty if it
+	// leads to several.
 	Service string
+	// Split parts the calls among several services, or is empty.
+	Split []Share
 	// Timeout bounds a call from its arrival to the end of its answer.
 	Timeout time.Duration
 	// Retries is the number of further tries a call may get.
 	Retries int
 	// Idempotent are the methods that may be sent again after dispatch.
+	// AnyMethod stands for all.
 	Idempotent []string
+	// Objective is the time within which a call should be answered, or 0.
+	Objective time.Duration
+	// Priority is the route's rank when there is not room for all. The lowest
+	// number goes first.
+	Priority int
 	// MaxBody is the largest body of a call, in bytes.
 	MaxBody int64
 }
@@ -43,7 +70,43 @@
 // MayRepeat says whether a call with this method may be sent again after a
 // try whose outcome is unknown.
 func (r Route) MayRepeat(method string) bool {
-	return slices.Contains(r.Idempotent, method)
+	return slices.Contains(r.Idempotent, method) || slices.Contains(r.Idempotent, AnyMethod)
+}
+
+// Choose returns the service for one call. Point is between 0 and 1, and the
+// same point always gives the same service.
+func (r Route) Choose(point float64) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	chosen := ""
+	for _, s := range r.Split {
+		if s.Weight <= 0 {
+			continue
+		}
+		chosen = s.Service
+		point -= s.Weight / total
+		if point < 0 {
+			break
+		}
+	}
+	return chosen
+}
+
+// Services returns the names of all services that the route may lead to.
+func (r Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	names := make([]string, 0, len(r.Split))
+	for _, s := range r.Split {
+		names = append(names, s.Service)
+	}
+	return names
 }
 
 // Limits bound what a team's proxies do beyond single calls.
@@ -53,6 +116,15 @@
 	// EjectShare is the largest share of a service's targets that one proxy
 	// may eject at once, in percent.
 	EjectShare int
+	// MaxBody is the largest body of a call on a route that sets none, in
+	// bytes, or 0.
+	MaxBody int64
+	// MaxHead is the largest head of a call, in bytes, or 0.
+	MaxHead int
+	// HeadTimeout is how long a caller may take to send a call's head, or 0.
+	HeadTimeout time.Duration
+	// IdleTimeout is how long a caller's connection may be idle, or 0.
+	IdleTimeout time.Duration
 }
 
 // A Configuration is what every proxy of a team holds in one version. It is
@@ -63,29 +135,33 @@
 	services []Service
 	routes   []Route
 	limits   Limits
+	// byHost holds the indexes of the routes of each host in lower case, the
+	// most specific first.
+	byHost map[string][]int
 }
 
-// NewConfiguration returns a new Configuration of team. Routes are ordered so
-// that the first match is the most specific.
+// NewConfiguration returns a new Configuration of team.
 func NewConfiguration(team string, services []Service, routes []Route, limits Limits) Configuration {
-	ordered := slices.Clone(routes)
-	slices.SortStableFunc(ordered, moreSpecific)
-	return Configuration{
+	c := Configuration{
 		team:     team,
 		services: slices.Clone(services),
-		routes:   ordered,
+		routes:   slices.Clone(routes),
 		limits:   limits,
+		byHost:   map[string][]int{},
 	}
-}
-
-func moreSpecific(a, b Route) int {
-	if d := len(b.PathPrefix) - len(a.PathPrefix); d != 0 {
-		return d
+	for i := range c.routes {
+		host := strings.ToLower(c.routes[i].Host)
+		c.byHost[host] = append(c.byHost[host], i)
 	}
-	if d := len(b.Host) - len(a.Host); d != 0 {
-		return d
+	for _, indexes := range c.byHost {
+		slices.SortStableFunc(indexes, func(a, b int) int {
+			return cmp.Or(
+				len(c.routes[b].PathPrefix)-len(c.routes[a].PathPrefix),
+				strings.Compare(c.routes[a].Name, c.routes[b].Name),
+			)
+		})
 	}
-	return strings.Compare(a.Name, b.Name)
+	return c
 }
 
 // WithNumber returns the same configuration as held in the version number.
@@ -114,7 +190,7 @@
 	return slices.Clone(c.services)
 }
 
-// Routes returns the routes, the most specific first.
+// Routes returns the routes in the order in which they were given.
 func (c Configuration) Routes() []Route {
 	return slices.Clone(c.routes)
 }
@@ -130,23 +206,35 @@
 }
 
 // Match returns the most specific route for a host and path, and false if
-// none matches.
+// none matches. The longest path prefix goes first, and of two as long the one
+// that names the host.
 func (c Configuration) Match(host, path string) (Route, bool) {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
-	for i := range c.routes {
-		if c.routes[i].matches(host, path) {
-			return c.routes[i], true
-		}
+	named := c.first(strings.ToLower(host), path)
+	other := c.first("", path)
+	switch {
+	case named < 0 && other < 0:
+		return Route{}, false
+	case named < 0 || (other >= 0 && len(c.routes[other].PathPrefix) > len(c.routes[named].PathPrefix)):
+		return c.routes[other], true
 	}
-	return Route{}, false
+	return c.routes[named], true
 }
 
-func (r *Route) matches(host, path string) bool {
-	if r.Host != "" && !strings.EqualFold(r.Host, host) {
-		return false
+// first returns the index of the most specific route of a host that matches
+// path, or -1.
+func (c Configuration) first(host, path string) int {
+	for _, i := range c.byHost[host] {
+		if c.routes[i].matches(path) {
+			return i
+		}
 	}
+	return -1
+}
+
+func (r *Route) matches(path string) bool {
 	if !strings.HasPrefix(path, r.PathPrefix) {
 		return false
 	}
@@ -158,8 +246,10 @@
 // Closed says whether every route leads to a service of the configuration.
 func (c Configuration) Closed() bool {
 	for i := range c.routes {
-		if _, ok := c.Service(c.routes[i].Service); !ok {
-			return false
+		for _, name := range c.routes[i].Services() {
+			if _, ok := c.Service(name); !ok {
+				return false
+			}
 		}
 	}
 	return true
--- /dev/null
+++ b/dialect.go
@@ -0,0 +1,69 @@
+package fireflymoor
+
+import (
+	"net/http"
+	"time"
+)
+
+// A CallHead is what a caller says of its call.
+type CallHead struct {
+	// ID names the call by its caller, or is empty.
+	ID string
+	// Left is how long the caller will wait, or 0 if it does not say.
+	Left time.Duration
+}
+
+// A Dispatch is what a target is told of a call.
+type Dispatch struct {
+	// Target is the id by which the target announced itself.
+	Target string
+	// Left is the time that the call has left.
+	Left time.Duration
+	// Origin is the service of the instance where the call began, or empty.
+	Origin string
+}
+
+// A Verdict is what a target's answer says of the call.
+type Verdict struct {
+	// Err says why the answer is not the call's own, or is nil.
+	Err error
+	// NotRun says that the target refused the call and will not run it.
+	NotRun bool
+	// Draining says that the target gets no new work.
+	Draining bool
+	// Load is the share of the target's slots in use, more than 1 while calls
+	// wait. It counts only if LoadKnown is set.
+	Load float64
+	// LoadKnown says that the target told its load.
+	LoadKnown bool
+}
+
+// A Refusal is the answer to a call that gets none from a target.
+type Refusal struct {
+	// Status is the HTTP status.
+	Status int
+	// Outcome says what is known of the call.
+	Outcome Outcome
+	// Reason says why, on one line.
+	Reason string
+	// RetryAfter is when the caller should come back, or 0.
+	RetryAfter time.Duration
+}
+
+// A Dialect is how callers and targets write what they say beside a call's
+// own content.
+type Dialect interface {
+	// ReadCall reads the head of a caller's call. It drops from the header
+	// what only the system may write.
+	ReadCall(header http.Header) (CallHead, error)
+	// WriteDispatch writes what a target is told. The header is that of the
+	// request to it.
+	WriteDispatch(header http.Header, dispatch Dispatch)
+	// ReadAnswer reads what a target answered to a request, and drops from
+	// the answer what does not concern the caller.
+	ReadAnswer(request, answer http.Header, status int) Verdict
+	// WriteAnswer writes to the header of an answer that goes to a caller.
+	WriteAnswer(header http.Header, id string)
+	// WriteRefusal writes to the header of a refusal that goes to a caller.
+	WriteRefusal(header http.Header, refusal Refusal)
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -6,7 +6,9 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +34,10 @@
 type Options struct {
 	// Node is the name of this node.
 	Node string
+	// Origin is the service of the instance that callers stand on, or empty.
+	Origin string
+	// Dialect is how callers write what they say of their calls.
+	Dialect fireflymoor.Dialect
 	// Viewer hands out what to route by.
 	Viewer fireflymoor.Viewer
 	// Balancer picks targets.
@@ -57,6 +63,7 @@
 // A Handler is the HTTP handler for callers.
 type Handler struct {
 	options Options
+	tries   atomic.Uint64
 }
 
 // New returns a new Handler.
@@ -68,9 +75,10 @@
 
 // call is one caller's call on its way.
 type call struct {
-	id      string
-	route   fireflymoor.Route
+	id string
+	// service is the one among the route's that the call goes to.
 	service fireflymoor.Service
+	route   fireflymoor.Route
 	view    fireflymoor.View
 	request *http.Request
 	body    *body
@@ -83,19 +91,25 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	began := time.Now()
-	id := uuid.NewString()
-	w.Header().Set(labeler.CallID, id)
+	head, headErr := h.options.Dialect.ReadCall(request.Header)
+	id := head.ID
+	if id == "" {
+		id = uuid.NewString()
+	}
 	view := h.options.Viewer.View()
 	route, status, reason := match(view, request)
-	if reason != "" {
+	switch {
+	case reason != "":
 		h.refuse(w, id, status, fireflymoor.NotRun, reason)
 		return
-	}
-	left, ok := labeler.TimeLeft(request.Header, route.Timeout)
-	if !ok {
-		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, "the deadline is no whole number of milliseconds")
+	case headErr != nil:
+		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, headErr.Error())
 		return
 	}
+	left := route.Timeout
+	if head.Left > 0 {
+		left = min(left, head.Left)
+	}
 	key, ok := keyOf(request, route)
 	if !ok {
 		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, fmt.Sprintf("the idempotency key is not one of 1 to %d bytes", maxKey))
@@ -103,14 +117,14 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), left)
 	defer cancel()
-	service, _ := view.Configuration().Service(route.Service)
+	service, _ := view.Configuration().Service(route.Choose(rand.Float64()))
 	kept := newBody(request.Body, request.ContentLength, route.MaxBody)
 	c := &call{
 		id:      id,
 		route:   route,
 		service: service,
 		view:    view,
-		request: inner(request, id, route),
+		request: inner(request, id, h.options.Origin, route),
 		body:    kept,
 		began:   began,
 	}
@@ -138,11 +152,14 @@
 }
 
 // inner returns the request as it goes to targets.
-func inner(request *http.Request, id string, route fireflymoor.Route) *http.Request {
+func inner(request *http.Request, id, origin string, route fireflymoor.Route) *http.Request {
 	copied := *request
 	copied.Header = request.Header.Clone()
 	labeler.CleanRequest(copied.Header)
 	copied.Header.Set(labeler.CallID, id)
+	if origin != "" {
+		copied.Header.Set(labeler.Origin, origin)
+	}
 	if !route.MayRepeat(request.Method) {
 		copied.Header.Set(labeler.Once, "yes")
 	}
@@ -208,7 +225,7 @@
 	now := time.Now()
 	pick, ok := h.pick(c, now)
 	if !ok {
-		return nil, fireflymoor.NotRun, errors.Wrapf(errNoTarget, "caller: service %s", c.route.Service)
+		return nil, fireflymoor.NotRun, errors.Wrapf(errNoTarget, "caller: service %s", c.service.Name)
 	}
 	if h.options.Decisions {
 		h.options.Log.Info().Str("call", c.id).Str("route", c.route.Name).
@@ -216,7 +233,7 @@
 			Int("try", len(c.tried)).Str("reason", pick.Reason).Msg("caller: route")
 	}
 	c.tried = append(c.tried, pick.Target.ID)
-	c.request.Header.Set(labeler.CallID, fmt.Sprintf("%s.%d", c.id, len(c.tried)))
+	c.request.Header.Set(labeler.CallID, fmt.Sprintf("%s.%s.%d", c.id, h.options.Node, h.tries.Add(1)))
 	end := h.options.Tracker.Begin(pick.Target, now)
 	c.request.Header.Set(labeler.TargetID, pick.Target.ID)
 	c.request.Body, c.request.ContentLength = c.body.reader()
@@ -259,7 +276,7 @@
 // pick chooses among the targets that are ready, not ejected and not tried
 // yet; if none is left, among those that are merely suspected.
 func (h *Handler) pick(c *call, now time.Time) (fireflymoor.Pick, bool) {
-	all := h.options.Viewer.View().Targets(c.route.Service)
+	all := h.options.Viewer.View().Targets(c.service.Name)
 	share := c.view.Configuration().Limits().EjectShare
 	ready := untried(all, fireflymoor.Ready, c.view.Configuration().Team(), c.tried)
 	if len(ready) == 0 {
@@ -287,7 +304,11 @@
 		_ = response.Body.Close()
 	}()
 	h.options.Metrics.observe(fireflymoor.Answered, c.began)
-	receiver.Copy(w, response, c.id)
+	labeler.CleanHop(response.Header)
+	response.Header.Del(labeler.CallID)
+	response.Header.Del(labeler.Outcome)
+	h.options.Dialect.WriteAnswer(response.Header, c.id)
+	receiver.Copy(w, response)
 }
 
 func (h *Handler) refuse(w http.ResponseWriter, id string, status int, outcome fireflymoor.Outcome, reason string) {
@@ -296,7 +317,13 @@
 		h.options.Log.Info().Str("call", id).Int("status", status).
 			Stringer("outcome", outcome).Str("reason", reason).Msg("caller: refused")
 	}
-	receiver.Refuse(w, status, outcome, reason)
+	refusal := fireflymoor.Refusal{
+		Status:  status,
+		Outcome: outcome,
+		Reason:  receiver.OneLine(reason),
+	}
+	h.options.Dialect.WriteRefusal(w.Header(), refusal)
+	http.Error(w, outcome.String()+": "+refusal.Reason, status)
 }
 
 // endingBody says when an answer has been read or left.
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -15,6 +15,7 @@
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/balancer"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
+	"github.com/fireflymoor/fireflymoor/internal/labeler"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
 )
@@ -61,6 +62,7 @@
 func newHandler(o *oneLeaves) *Handler {
 	return New(Options{
 		Node:      "node",
+		Dialect:   labeler.NewDialect(),
 		Viewer:    o,
 		Balancer:  balancer.NewTwoChoices(),
 		Forwarder: o,
--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -51,7 +51,7 @@
 	deadline, _ := ctx.Deadline()
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
-	scoped := c.view.Configuration().Team() + "\x00" + c.route.Service + "\x00" + key
+	scoped := c.view.Configuration().Team() + "\x00" + c.service.Name + "\x00" + key
 	grant, kept, err := h.options.Claims.Claim(ctx, scoped, fingerprint(c.request))
 	h.logClaim(c, grant, err)
 	switch {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -342,32 +342,40 @@
 	}
 }
 
-// Bootstrap starts a new log of which all replicas are members. Identify asks
-// every other replica; all must be reached and blank.
-func (c *Controller) Bootstrap(ctx context.Context, identify func(ctx context.Context) ([]*messenger.Identity, error)) error {
+// Bootstrap starts a new log whose members are this replica and all others.
+// Identify asks every other replica; all must be reached and blank. Size is
+// the number of members when none is being replaced, or zero.
+func (c *Controller) Bootstrap(ctx context.Context, own *messenger.Member, size int, identify func(ctx context.Context) ([]*messenger.Identity, error)) error {
 	others, err := identify(ctx)
 	if err != nil {
 		return errors.Wrap(err, "controller: bootstrap")
 	}
-	members := make([]*messenger.Member, 0, len(others))
+	members := []*messenger.Member{own}
 	for _, other := range others {
 		if !other.GetBlank() {
 			return errors.Newf("controller: bootstrap: replica %s holds a log already", other.GetName())
 		}
 		members = append(members, &messenger.Member{
-			Name: other.GetName(),
-			Disk: other.GetDisk(),
+			Name:    other.GetName(),
+			Disk:    other.GetDisk(),
+			Address: other.GetAddress(),
 		})
 	}
 	var bootErr error
 	err = c.options.Sequencer.Do(ctx, func() {
 		var effects replicator.Effects
-		effects, bootErr = c.replicator.Bootstrap(members, time.Now())
+		effects, bootErr = c.replicator.Bootstrap(members, size, time.Now())
 		c.handle(effects)
 	})
 	return errors.Wrap(errors.CombineErrors(err, bootErr), "controller: bootstrap")
 }
 
+// SetPeers replaces the replicas that the log may be replicated to. It is
+// called on the sequencer.
+func (c *Controller) SetPeers(peers []replicator.Peer) {
+	c.replicator.SetPeers(peers, time.Now())
+}
+
 // Status returns the replicated log's status. It is called on the sequencer.
 func (c *Controller) Status() replicator.Status {
 	return c.replicator.Status(time.Now())
--- /dev/null
+++ b/internal/labeler/dialect.go
@@ -0,0 +1,61 @@
+package labeler
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflymoor/fireflymoor"
+)
+
+var errDeadline = errors.New("the deadline is no whole number of milliseconds")
+
+type dialect struct{}
+
+// NewDialect returns a new fireflymoor.Dialect of this package's headers.
+func NewDialect() fireflymoor.Dialect {
+	return dialect{}
+}
+
+// ReadCall implements fireflymoor.Dialect.
+func (dialect) ReadCall(header http.Header) (fireflymoor.CallHead, error) {
+	text := header.Get(Deadline)
+	if text == "" {
+		return fireflymoor.CallHead{}, nil
+	}
+	milliseconds, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || milliseconds < 0 {
+		return fireflymoor.CallHead{}, errDeadline
+	}
+	return fireflymoor.CallHead{
+		Left: max(time.Duration(milliseconds)*time.Millisecond, time.Nanosecond),
+	}, nil
+}
+
+// WriteDispatch implements fireflymoor.Dialect. The call's id and deadline
+// are in the header already.
+func (dialect) WriteDispatch(http.Header, fireflymoor.Dispatch) {}
+
+// ReadAnswer implements fireflymoor.Dialect. Any answer is taken for the
+// call's own.
+func (dialect) ReadAnswer(_, _ http.Header, _ int) fireflymoor.Verdict {
+	return fireflymoor.Verdict{}
+}
+
+// WriteAnswer implements fireflymoor.Dialect.
+func (dialect) WriteAnswer(header http.Header, id string) {
+	header.Set(CallID, id)
+	header.Set(Outcome, fireflymoor.Answered.String())
+}
+
+// WriteRefusal implements fireflymoor.Dialect.
+func (dialect) WriteRefusal(header http.Header, refusal fireflymoor.Refusal) {
+	header.Set(Outcome, refusal.Outcome.String())
+	header.Set(Reason, refusal.Reason)
+	if refusal.RetryAfter > 0 {
+		seconds := (refusal.RetryAfter + time.Second - 1) / time.Second
+		header.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+}
--- a/internal/labeler/labeler.go
+++ b/internal/labeler/labeler.go
@@ -35,12 +35,14 @@
 	Once = "Fireflymoor-Once"
 	// Draining marks the refusal of a target that gets no new work.
 	Draining = "Fireflymoor-Draining"
+	// Origin is the service of the instance where a call began.
+	Origin = "Fireflymoor-Origin"
 	// Load is the share of a target's slots in use, from 0 to 1.
 	Load = "Fireflymoor-Load"
 )
 
 var (
-	inner = []string{TargetID, Boot, Once, Draining, Load}
+	inner = []string{TargetID, Boot, Once, Draining, Origin, Load}
 	// hopByHop are the headers that end at each connection.
 	hopByHop = []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -49,13 +50,30 @@
 	Platform string
 	// Operators is the address of the administration API.
 	Operators string
+	// Ready is the address for questions of readiness, and Announcements that
+	// for targets. Both are those of Platform unless they are set.
+	Ready string
+	// Announcements is the address where targets announce themselves.
+	Announcements string
 	// AdvertisedOverlay and AdvertisedCalls are the addresses that other
 	// processes are told, if they are not the ones listened on.
 	AdvertisedOverlay string
 	// AdvertisedCalls is told other nodes in place of Calls.
 	AdvertisedCalls string
-	// Replicas are the control replicas.
+	// Replicas are the control replicas, if they are told by name. If not,
+	// they find each other by SeedAddresses.
 	Replicas []Replica
+	// SeedAddresses are overlay addresses of some control replicas.
+	SeedAddresses []string
+	// Founding says that a control replica starts with the system's first
+	// start. It may begin the log with the others at SeedAddresses.
+	Founding bool
+	// CallerService is the service of the instance that callers stand on, or
+	// empty.
+	CallerService string
+	// TargetAddress is where the target of the node's instance is known to
+	// listen, or empty. Its service is CallerService.
+	TargetAddress string
 	// Tokens are the bearer tokens, by team; "*" stands for all teams.
 	Tokens map[string]string
 	// Lease is how long a target's announcement holds.
@@ -89,6 +107,7 @@
 	defaultGrace     = time.Second
 	defaultHeartbeat = 100 * time.Millisecond
 	defaultElection  = 600 * time.Millisecond
+	maxPort          = 65535
 	leastTime        = 10 * time.Millisecond
 	mostTime         = time.Minute
 	// leastKeyWindow is longer than a claim may take, and mostKeyWindow no
@@ -139,6 +158,8 @@
 		s.Callers = address(section, "callers")
 		s.Platform = address(section, "platform")
 		s.Operators = address(section, "operators")
+		s.Ready = address(section, "ready")
+		s.Announcements = address(section, "announcements")
 	case "advertise":
 		s.AdvertisedOverlay = address(section, "overlay")
 		s.AdvertisedCalls = address(section, "calls")
@@ -150,7 +171,9 @@
 		}
 	case "targets":
 		s.Lease = section.Duration("lease", defaultLease, leastTime, mostTime)
+		s.TargetAddress = address(section, "address")
 	case "callers":
+		s.CallerService = section.String("service", "")
 		s.KeyWindow = section.Duration("key-window", defaultKeyWindow, leastKeyWindow, mostKeyWindow)
 	case "log":
 		s.readLog(section)
@@ -182,7 +205,19 @@
 }
 
 func (s *Settings) readControl(section *parser.Section) {
-	for _, word := range section.Words("replicas", nil) {
+	s.readReplicas(section)
+	s.readSeeds(section)
+	s.Founding = section.Bool("founding", false)
+	s.Heartbeat = section.Duration("heartbeat", defaultHeartbeat, leastTime, mostTime)
+	s.Election = section.Duration("election", defaultElection, leastTime, mostTime)
+	if s.Election < 3*s.Heartbeat {
+		section.Fault("election", "is less than three heartbeats")
+	}
+}
+
+func (s *Settings) readReplicas(section *parser.Section) {
+	words := section.Words("replicas", nil)
+	for _, word := range words {
 		name, at, ok := strings.Cut(word, "@")
 		if !ok || !parser.ValidName(name) {
 			section.Fault("replicas", fmt.Sprintf("%q is not NAME@ADDRESS", word))
@@ -196,13 +231,28 @@
 			Address: at,
 		})
 	}
-	if len(s.Replicas) == 0 || len(s.Replicas) > maxReplicas {
+	told := len(words) > 0 || section.String("seeds", "") == ""
+	if told && (len(s.Replicas) == 0 || len(s.Replicas) > maxReplicas) {
 		section.Fault("replicas", fmt.Sprintf("names %d replicas, between 1 and %d are needed", len(s.Replicas), maxReplicas))
 	}
-	s.Heartbeat = section.Duration("heartbeat", defaultHeartbeat, leastTime, mostTime)
-	s.Election = section.Duration("election", defaultElection, leastTime, mostTime)
-	if s.Election < 3*s.Heartbeat {
-		section.Fault("election", "is less than three heartbeats")
+}
+
+// readSeeds reads the addresses of some replicas. They may be told by another
+// port than that of the overlay.
+func (s *Settings) readSeeds(section *parser.Section) {
+	port := section.Int("seed-port", 0, 1, maxPort)
+	for _, word := range section.Words("seeds", nil) {
+		if reason := checkAddress(word); reason != "" {
+			section.Fault("seeds", reason)
+			continue
+		}
+		if host, _, err := net.SplitHostPort(word); err == nil && port > 0 {
+			word = net.JoinHostPort(host, strconv.Itoa(port))
+		}
+		s.SeedAddresses = append(s.SeedAddresses, word)
+	}
+	if len(s.SeedAddresses) > 0 && len(s.Replicas) > 0 {
+		section.Fault("seeds", "stands beside replicas")
 	}
 }
 
@@ -222,7 +272,7 @@
 	if s.Name == "" && s.Role == "" {
 		d.Fault("process", "", "the section is missing")
 	}
-	if len(s.Replicas) == 0 {
+	if len(s.Replicas)+len(s.SeedAddresses) == 0 {
 		d.Fault("control", "replicas", "is missing")
 	}
 	if s.Role != RoleControl && s.Role != RoleNode {
@@ -257,6 +307,9 @@
 }
 
 func (s *Settings) checkReplica(d *parser.Document) {
+	if len(s.SeedAddresses) > 0 {
+		return
+	}
 	for _, r := range s.Replicas {
 		if r.Name == s.Name {
 			return
@@ -287,8 +340,11 @@
 	return ""
 }
 
-// Seeds returns the overlay addresses of the control replicas.
+// Seeds returns the overlay addresses of the control replicas that are told.
 func (s *Settings) Seeds() []string {
+	if len(s.SeedAddresses) > 0 {
+		return s.SeedAddresses
+	}
 	seeds := make([]string, 0, len(s.Replicas))
 	for _, r := range s.Replicas {
 		seeds = append(seeds, r.Address)
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -33,6 +33,9 @@
 	Targets(ctx context.Context) ([]fireflymoor.Target, error)
 	// Drain gives a node's targets no new work.
 	Drain(ctx context.Context, node string) error
+	// Confirm waits until this replica holds all that a quorum has accepted
+	// before the call.
+	Confirm(ctx context.Context) error
 	// Bootstrap starts the replicated log.
 	Bootstrap(ctx context.Context) error
 	// Backup writes a copy of the disk and returns its path.
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -20,14 +20,15 @@
 	},
 }
 
-// Refuse answers a call that got no answer from a target.
+// Refuse answers another node's call that got no answer from a target.
 func Refuse(w http.ResponseWriter, status int, outcome fireflymoor.Outcome, reason string) {
 	w.Header().Set(labeler.Outcome, outcome.String())
-	w.Header().Set(labeler.Reason, oneLine(reason))
+	w.Header().Set(labeler.Reason, OneLine(reason))
 	http.Error(w, outcome.String()+": "+reason, status)
 }
 
-func oneLine(text string) string {
+// OneLine returns text as it may stand in a header.
+func OneLine(text string) string {
 	line := []byte(text)
 	for i, c := range line {
 		if c < ' ' || c > '~' {
@@ -45,11 +46,8 @@
 
 // Copy passes a target's answer on. An answer that breaks off is not passed
 // on as whole: the connection is aborted.
-func Copy(w http.ResponseWriter, response *http.Response, id string) {
-	labeler.CleanHop(response.Header)
+func Copy(w http.ResponseWriter, response *http.Response) {
 	copyHeader(w.Header(), response.Header)
-	w.Header().Set(labeler.CallID, id)
-	w.Header().Set(labeler.Outcome, fireflymoor.Answered.String())
 	if response.ContentLength >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -135,7 +135,10 @@
 	// silent.
 	state = registrar.Answered
 	r.registrar.End(id, state, answer, time.Now())
-	Copy(w, response, id)
+	labeler.CleanHop(response.Header)
+	response.Header.Set(labeler.CallID, id)
+	response.Header.Set(labeler.Outcome, fireflymoor.Answered.String())
+	Copy(w, response)
 }
 
 // readBody reads a short body to its end before any of the call goes to the
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -25,6 +25,7 @@
 	inputs   map[string]fireflymoor.Inputs
 	records  []*messenger.ChangeRecord
 	byID     map[string]*messenger.ChangeRecord
+	labels   map[string]uint64
 }
 
 // New returns a new, empty Recorder.
@@ -32,6 +33,7 @@
 	return &Recorder{
 		inputs: map[string]fireflymoor.Inputs{},
 		byID:   map[string]*messenger.ChangeRecord{},
+		labels: map[string]uint64{},
 	}
 }
 
@@ -39,10 +41,24 @@
 // again for something else is found. It does not depend on what was accepted
 // when the change was sent.
 func Digest(c *messenger.Change) []byte {
-	sum := sha256.Sum256(fmt.Appendf(nil, "%q %d %x %x", c.GetTeam(), c.GetParent(), c.GetTemplateHash(), c.GetValuesHash()))
+	text := fmt.Appendf(nil, "%q %d %x %x", c.GetTeam(), c.GetParent(), c.GetTemplateHash(), c.GetValuesHash())
+	if c.GetLabel() > 0 {
+		text = fmt.Appendf(text, " %d %d", c.GetLabel(), c.GetParentLabel())
+	}
+	sum := sha256.Sum256(text)
 	return sum[:]
 }
 
+// follows says whether a change is made on what is accepted. With a label it
+// must name the accepted label, and its own must be greater.
+func (r *Recorder) follows(c *messenger.Change, entry fireflymoor.TeamEntry) bool {
+	if c.GetLabel() == 0 {
+		return entry.Number == c.GetParent()
+	}
+	current := r.labels[c.GetTeam()]
+	return c.GetParentLabel() == current && c.GetLabel() > current
+}
+
 // Apply applies one change and returns its lasting outcome. A change id that
 // was applied before gets its first outcome again, and accepted is false.
 func (r *Recorder) Apply(c *messenger.Change) (record *messenger.ChangeRecord, accepted bool) {
@@ -55,9 +71,10 @@
 		Operator:         c.GetOperator(),
 		UnixMilliseconds: c.GetUnixMilliseconds(),
 		Digest:           Digest(c),
+		Label:            c.GetLabel(),
 	}
 	entry, _ := r.manifest.Team(c.GetTeam())
-	if entry.Number != c.GetParent() {
+	if !r.follows(c, entry) {
 		record.Conflict = true
 		record.ActualParent = entry.Number
 		r.keep(record)
@@ -87,6 +104,9 @@
 		Rendered: rendered,
 	})
 	r.inputs[c.GetTeam()] = inputs
+	if c.GetLabel() > 0 {
+		r.labels[c.GetTeam()] = c.GetLabel()
+	}
 }
 
 func (r *Recorder) keep(record *messenger.ChangeRecord) {
@@ -103,6 +123,11 @@
 	return r.manifest
 }
 
+// Label returns the label of a team's accepted change, or 0.
+func (r *Recorder) Label(team string) uint64 {
+	return r.labels[team]
+}
+
 // Inputs returns a team's accepted inputs, and false if it has none.
 func (r *Recorder) Inputs(team string) (fireflymoor.Inputs, bool) {
 	inputs, ok := r.inputs[team]
@@ -129,6 +154,7 @@
 		Manifest: messenger.FromManifest(r.manifest),
 		Inputs:   map[string]*messenger.Inputs{},
 		Records:  r.records,
+		Labels:   r.labels,
 	}
 	for team, inputs := range r.inputs {
 		state.Inputs[team] = &messenger.Inputs{
@@ -158,6 +184,9 @@
 			Values:   inputs.GetValues(),
 		}
 	}
+	for team, label := range state.GetLabels() {
+		r.labels[team] = label
+	}
 	for _, record := range state.GetRecords() {
 		r.keep(record)
 	}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -28,8 +28,12 @@
 // A Transport carries messages to the other replicas. A message that cannot
 // be sent at once is dropped: the replicated log sends again.
 type Transport struct {
+	self   string
 	dialer *dialer.Dialer
-	peers  map[string]*peer
+
+	lock  sync.Mutex
+	ctx   context.Context
+	peers map[string]*peer
 }
 
 type peer struct {
@@ -37,29 +41,65 @@
 	address string
 	queue   chan *messenger.ReplicaMessage
 	heard   atomic.Int64
+	cancel  context.CancelFunc
 }
 
-// New returns a new Transport to all replicas but the one called self.
-func New(self string, replicas []loader.Replica, dialer *dialer.Dialer) *Transport {
-	t := &Transport{
+// New returns a new Transport of the replica called self, to no others yet.
+func New(self string, dialer *dialer.Dialer) *Transport {
+	return &Transport{
+		self:   self,
 		dialer: dialer,
 		peers:  map[string]*peer{},
 	}
+}
+
+// SetPeers replaces the replicas that messages may go to. It may be called
+// from any goroutine.
+func (t *Transport) SetPeers(replicas []loader.Replica) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	wanted := map[string]bool{}
 	for _, r := range replicas {
-		if r.Name != self {
-			t.peers[r.Name] = &peer{
-				name:    r.Name,
-				address: r.Address,
-				queue:   make(chan *messenger.ReplicaMessage, queueLength),
-			}
+		if r.Name == t.self || r.Address == "" {
+			continue
+		}
+		wanted[r.Name] = true
+		known := t.peers[r.Name]
+		if known != nil && known.address == r.Address {
+			continue
+		}
+		t.drop(r.Name)
+		p := &peer{
+			name:    r.Name,
+			address: r.Address,
+			queue:   make(chan *messenger.ReplicaMessage, queueLength),
+		}
+		t.peers[r.Name] = p
+		t.start(p)
+	}
+	for name := range t.peers {
+		if !wanted[name] {
+			t.drop(name)
 		}
 	}
-	return t
+}
+
+func (t *Transport) drop(name string) {
+	if p := t.peers[name]; p != nil && p.cancel != nil {
+		p.cancel()
+	}
+	delete(t.peers, name)
+}
+
+func (t *Transport) peer(name string) *peer {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.peers[name]
 }
 
 // Send queues a message.
 func (t *Transport) Send(m *messenger.ReplicaMessage) {
-	p := t.peers[m.GetTo()]
+	p := t.peer(m.GetTo())
 	if p == nil {
 		return
 	}
@@ -71,23 +111,35 @@
 
 // Heard notes that a message came from a replica.
 func (t *Transport) Heard(name string) {
-	if p := t.peers[name]; p != nil {
+	if p := t.peer(name); p != nil {
 		p.heard.Store(time.Now().UnixNano())
 	}
 }
 
 // Run sends until ctx ends.
 func (t *Transport) Run(ctx context.Context) {
-	var group sync.WaitGroup
+	t.lock.Lock()
+	t.ctx = ctx
 	for _, p := range t.peers {
-		group.Go(func() {
-			for ctx.Err() == nil {
-				_ = t.stream(ctx, p)
-				wait(ctx, redialWait)
-			}
-		})
+		t.start(p)
 	}
-	group.Wait()
+	t.lock.Unlock()
+	<-ctx.Done()
+}
+
+// start has a peer's messages sent, once the transport runs.
+func (t *Transport) start(p *peer) {
+	if t.ctx == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(t.ctx)
+	p.cancel = cancel
+	go func() {
+		for ctx.Err() == nil {
+			_ = t.stream(ctx, p)
+			wait(ctx, redialWait)
+		}
+	}()
 }
 
 func wait(ctx context.Context, d time.Duration) {
@@ -145,12 +197,12 @@
 }
 
 // Identify asks the replica at an address for its disk.
-func (t *Transport) Identify(ctx context.Context, name, address string) (*messenger.Identity, error) {
+func (t *Transport) Identify(ctx context.Context, address string) (*messenger.Identity, error) {
 	conn, err := neighbour.Dial(ctx, address, t.dialer)
 	if err != nil {
-		return nil, errors.Wrapf(err, "replica %s: identify", name)
+		return nil, errors.Wrapf(err, "replica at %s: identify", address)
 	}
 	defer closeConn(conn)
 	identity, err := messenger.NewDRPCReplicationClient(conn).Identify(ctx, &messenger.Empty{})
-	return identity, errors.Wrapf(err, "replica %s: identify", name)
+	return identity, errors.Wrapf(err, "replica at %s: identify", address)
 }
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -88,17 +88,21 @@
 // bootstrap has a replica start the log with the members named.
 func (c *cluster) bootstrap(name string, members ...string) {
 	c.t.Helper()
-	var others []*messenger.Member
-	for _, other := range members {
-		if other != name {
-			others = append(others, &messenger.Member{
-				Name: other,
-				Disk: c.replicas[other].disk,
-			})
-		}
+	c.bootstrapSized(name, 0, members...)
+}
+
+// bootstrapSized has a replica start the log with the members named and a size.
+func (c *cluster) bootstrapSized(name string, size int, members ...string) {
+	c.t.Helper()
+	var all []*messenger.Member
+	for _, member := range members {
+		all = append(all, &messenger.Member{
+			Name: member,
+			Disk: c.replicas[member].disk,
+		})
 	}
 	first := c.replicas[name]
-	effects, err := first.Bootstrap(others, c.now)
+	effects, err := first.Bootstrap(all, size, c.now)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -143,12 +143,34 @@
 	r.reads = nil
 	r.quorumChecked = now
 	r.progress = map[string]*progress{}
-	for _, name := range r.config.Peers {
-		if name != r.config.Name {
-			r.progress[name] = &progress{next: r.lastIndex() + 1}
-		}
-	}
+	r.follow(now)
 	r.appendOwn(messenger.EntryKind_ENTRY_EMPTY, nil)
 	r.replicate(now)
 	r.advanceCommit()
 }
+
+// follow has the leader replicate to all members and to all peers that are
+// known, and to no others.
+func (r *Replicator) follow(now time.Time) {
+	wanted := map[string]bool{}
+	for _, m := range r.members() {
+		wanted[m.GetName()] = true
+	}
+	for name := range r.peers {
+		wanted[name] = true
+	}
+	delete(wanted, r.config.Name)
+	for name := range r.progress {
+		if !wanted[name] {
+			delete(r.progress, name)
+		}
+	}
+	for name := range wanted {
+		if r.progress[name] == nil {
+			r.progress[name] = &progress{
+				next:  r.lastIndex() + 1,
+				since: now,
+			}
+		}
+	}
+}
--- a/internal/replicator/log.go
+++ b/internal/replicator/log.go
@@ -6,8 +6,8 @@
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 )
 
-func membershipEntry(index, term uint64, members []*messenger.Member) *messenger.Entry {
-	data, err := proto.Marshal(&messenger.Membership{Members: members})
+func membershipEntry(index, term uint64, membership *messenger.Membership) *messenger.Entry {
+	data, err := proto.Marshal(membership)
 	if err != nil {
 		panic(err)
 	}
@@ -70,19 +70,31 @@
 // members returns the voters by the latest entry that names them, committed
 // or not.
 func (r *Replicator) members() []*messenger.Member {
-	return r.membersAt(r.lastIndex())
+	return r.membership().GetMembers()
 }
 
-func (r *Replicator) membersAt(index uint64) []*messenger.Member {
+// membership returns the latest membership. It is decoded once: it is asked
+// for with every message.
+func (r *Replicator) membership() *messenger.Membership {
+	at := r.membershipIndex(r.lastIndex())
+	if r.decoded == nil || r.decodedAt != at || (at > r.snapshotIndex() && r.decodedTerm != r.termAt(at)) {
+		r.decoded = r.membershipAt(r.lastIndex())
+		r.decodedAt = at
+		r.decodedTerm = r.termAt(at)
+	}
+	return r.decoded
+}
+
+func (r *Replicator) membershipAt(index uint64) *messenger.Membership {
 	at := r.membershipIndex(index)
 	if at == r.snapshotIndex() {
-		return r.durable.Snapshot.GetMembership().GetMembers()
+		return r.durable.Snapshot.GetMembership()
 	}
 	membership := &messenger.Membership{}
 	if err := proto.Unmarshal(r.entryAt(at).GetData(), membership); err != nil {
 		panic(err)
 	}
-	return membership.GetMembers()
+	return membership
 }
 
 // membershipIndex returns where the membership in force at index stands.
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -19,7 +19,7 @@
 		}
 	}
 	if !now.Before(r.heartbeatDue) {
-		r.changeMembership()
+		r.changeMembership(now)
 		r.replicate(now)
 		r.advanceCommit()
 	}
@@ -154,6 +154,7 @@
 	if p.disk != m.GetDisk() {
 		*p = progress{
 			disk:    m.GetDisk(),
+			since:   p.since,
 			next:    r.lastIndex() + 1,
 			admitAt: r.commit,
 		}
@@ -205,10 +206,11 @@
 	return held >= r.quorum()
 }
 
-// changeMembership takes at most one step towards the settings: it removes a
-// member whose disk has changed, or admits a replica that holds everything
-// that was committed when it was first heard and everything committed now.
-func (r *Replicator) changeMembership() {
+// changeMembership takes at most one step towards the peers that are there: it
+// removes a member whose disk has changed, or admits a replica that holds
+// everything that was committed when it was first heard and everything
+// committed now, or removes a silent member that another stands in for.
+func (r *Replicator) changeMembership(now time.Time) {
 	if r.config.AdmitAnyDisk && len(r.members()) == len(r.config.Peers) {
 		return
 	}
@@ -221,17 +223,59 @@
 			continue
 		}
 		if member {
-			r.proposeMembers(without(r.members(), name))
+			r.proposeMembers(without(r.members(), name), r.membership().GetSize())
+			r.follow(now)
 			return
 		}
 		if p.match >= p.admitAt && p.match >= r.commit {
-			r.proposeMembers(append(slices.Clone(r.members()), &messenger.Member{
-				Name: name,
-				Disk: p.disk,
-			}))
+			r.admit(name, p.disk)
 			return
 		}
 	}
+	r.replaceSilent(now)
+}
+
+// admit proposes a replica as a member.
+func (r *Replicator) admit(name, disk string) {
+	peer := r.peers[name]
+	size := r.membership().GetSize()
+	if size > 0 && peer.Founding {
+		size++
+	}
+	r.proposeMembers(append(slices.Clone(r.members()), &messenger.Member{
+		Name:    name,
+		Disk:    disk,
+		Address: peer.Address,
+	}), size)
+}
+
+// replaceSilent removes the member that has been silent longest, if there are
+// more members than the log's size, so that one of them stands in for it.
+func (r *Replicator) replaceSilent(now time.Time) {
+	membership := r.membership()
+	if membership.GetSize() == 0 || len(membership.GetMembers()) <= int(membership.GetSize()) {
+		return
+	}
+	silent := ""
+	longest := r.config.Replace
+	for _, m := range membership.GetMembers() {
+		p := r.progress[m.GetName()]
+		if p == nil || m.GetName() == r.config.Name {
+			continue
+		}
+		heard := p.since
+		if p.heard.After(heard) {
+			heard = p.heard
+		}
+		if now.Sub(heard) > longest {
+			silent = m.GetName()
+			longest = now.Sub(heard)
+		}
+	}
+	if silent != "" {
+		r.proposeMembers(without(membership.GetMembers(), silent), membership.GetSize())
+		r.follow(now)
+	}
 }
 
 func without(members []*messenger.Member, name string) []*messenger.Member {
@@ -240,7 +284,10 @@
 	})
 }
 
-func (r *Replicator) proposeMembers(members []*messenger.Member) {
-	entry := membershipEntry(r.lastIndex()+1, r.durable.Term, members)
+func (r *Replicator) proposeMembers(members []*messenger.Member, size uint32) {
+	entry := membershipEntry(r.lastIndex()+1, r.durable.Term, &messenger.Membership{
+		Members: members,
+		Size:    size,
+	})
 	r.append([]*messenger.Entry{entry})
 }
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -40,12 +40,16 @@
 	Name string
 	// Disk identifies the disk under this replica.
 	Disk string
-	// Peers are the names of all replicas in the settings, this one included.
+	// Peers are the names of the replicas that are known at the start, this
+	// one included. SetPeers replaces them.
 	Peers []string
 	// Heartbeat is the time between a leader's messages.
 	Heartbeat time.Duration
 	// Election is the least time without a leader before a vote.
 	Election time.Duration
+	// Replace is how long a member may be silent before the replica that
+	// stands in for it takes its place for good.
+	Replace time.Duration
 	// AdmitAnyDisk lets a new disk vote under its old name at once. It is
 	// unsafe, and exists so that a test can show the loss.
 	AdmitAnyDisk bool
@@ -123,8 +127,20 @@
 	Quorum bool
 }
 
+// A Peer is a replica that the log may be replicated to.
+type Peer struct {
+	// Name is the replica's name.
+	Name string
+	// Address is its overlay address, or empty if it is told otherwise.
+	Address string
+	// Founding says that it was there at the system's first start, so that
+	// its admission makes the log larger by one.
+	Founding bool
+}
+
 type progress struct {
 	disk    string
+	since   time.Time
 	next    uint64
 	match   uint64
 	admitAt uint64
@@ -145,6 +161,7 @@
 	config  Config
 	random  *rand.Rand
 	durable Durable
+	peers   map[string]Peer
 
 	role     Role
 	leader   string
@@ -160,6 +177,11 @@
 	heartbeatDue  time.Time
 	quorumChecked time.Time
 
+	// decoded is the membership of the entry at decodedAt, of decodedTerm.
+	decoded     *messenger.Membership
+	decodedAt   uint64
+	decodedTerm uint64
+
 	effects Effects
 }
 
@@ -169,6 +191,13 @@
 		config:  config,
 		random:  random,
 		durable: durable,
+		peers:   map[string]Peer{},
+	}
+	for _, name := range config.Peers {
+		r.peers[name] = Peer{
+			Name:     name,
+			Founding: true,
+		}
 	}
 	if durable.Snapshot != nil {
 		r.commit = durable.Snapshot.GetIndex()
@@ -183,23 +212,38 @@
 	return r.durable.Term == 0 && r.durable.Snapshot == nil && len(r.durable.Entries) == 0
 }
 
-// Bootstrap starts a new log whose first members are this replica and the
-// others given. With all replicas among them a quorum of all elects the first
-// leader, so that replicas that start a log at the same time come to share
-// one. Replicas that are not among them are admitted when they have caught up.
-func (r *Replicator) Bootstrap(others []*messenger.Member, now time.Time) (Effects, error) {
+// SetPeers replaces the replicas that the log may be replicated to, beside its
+// members.
+func (r *Replicator) SetPeers(peers []Peer, now time.Time) {
+	r.peers = map[string]Peer{}
+	for _, p := range peers {
+		r.peers[p.Name] = p
+	}
+	if r.role == Leader {
+		r.follow(now)
+	}
+}
+
+// Bootstrap starts a new log with its first members, of which this replica is
+// one. With all replicas among them a quorum of all elects the first leader,
+// so that replicas that start a log at the same time come to share one.
+// Replicas that are not among them are admitted when they have caught up.
+//
+// Size is the number of members when none is being replaced, or zero if no
+// member is ever replaced by one of another name.
+func (r *Replicator) Bootstrap(first []*messenger.Member, size int, now time.Time) (Effects, error) {
 	if !r.Blank() {
 		return Effects{}, errors.New("the disk holds a log already")
 	}
 	r.setTerm(1, "")
-	members := append(slices.Clone(others), &messenger.Member{
-		Name: r.config.Name,
-		Disk: r.config.Disk,
-	})
+	members := slices.Clone(first)
 	slices.SortFunc(members, func(a, b *messenger.Member) int {
 		return strings.Compare(a.GetName(), b.GetName())
 	})
-	r.append([]*messenger.Entry{membershipEntry(1, 1, members)})
+	r.append([]*messenger.Entry{membershipEntry(1, 1, &messenger.Membership{
+		Members: members,
+		Size:    uint32(size),
+	})})
 	r.electionDue = now
 	return r.Tick(now), nil
 }
@@ -279,7 +323,7 @@
 	snapshot := &messenger.Snapshot{
 		Index:      index,
 		Term:       r.termAt(index),
-		Membership: &messenger.Membership{Members: r.membersAt(index)},
+		Membership: r.membershipAt(index),
 		State:      state,
 	}
 	r.durable.Entries = r.durable.Entries[index-r.snapshotIndex():]
--- a/internal/runner/call_test.go
+++ b/internal/runner/call_test.go
@@ -63,7 +63,7 @@
 		Address: standIn.Listener.Addr().String(),
 		Slots:   1000,
 	}, time.Now())
-	local := target.NewServer(registry, dial)
+	local := target.NewServer(registry, labeler.NewDialect(), dial)
 	far := serveBench(b, receiver.New(1, local, registrar.New(), log))
 	full := serveBench(b, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
@@ -71,7 +71,8 @@
 	}))
 	handler := func(node, address string) http.Handler {
 		return caller.New(caller.Options{
-			Node: node,
+			Node:    node,
+			Dialect: labeler.NewDialect(),
 			Viewer: &fixedView{
 				view: benchView(address),
 			},
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -30,6 +30,13 @@
 	confirmSpread  = 2 * time.Second
 	quorumTimeout  = time.Second
 	drainTimeout   = 2 * time.Second
+	// replaceAfter is how long a member of the log may be silent before a
+	// replica that stands in for it takes its place. It is longer than an
+	// election, and leaves time within the 4 s that a new replica may take.
+	replaceAfter = 2 * time.Second
+	// followInterval is how often the replicas' addresses are looked over,
+	// beside each change.
+	followInterval = time.Second
 	// reportLife is how long a zone's report is believed.
 	reportLife = 20 * time.Second
 )
@@ -57,8 +64,8 @@
 
 // NewControl returns a new fireflymoor.Process for the role of a control
 // replica. Its addresses and its disk are taken at once.
-func NewControl(settings loader.Settings, out io.Writer) (fireflymoor.Process, error) {
-	m, err := newMember(settings, out, settings.Overlay, settings.Operators, settings.Platform)
+func NewControl(settings loader.Settings, out io.Writer, options ...Option) (fireflymoor.Process, error) {
+	m, err := newMember(settings, out, options, settings.Overlay, settings.Operators, settings.Platform)
 	if err != nil {
 		return nil, err
 	}
@@ -70,7 +77,7 @@
 	c := &control{
 		member:    m,
 		keeper:    disk,
-		transport: replica.New(settings.Name, settings.Replicas, m.dialer),
+		transport: replica.New(settings.Name, m.dialer),
 		reports:   map[string]zoneReport{},
 		admitter:  admitter.New(confirmsPerSec, confirmSpread, rand.New(rand.NewPCG(m.boot, 0))),
 	}
@@ -94,6 +101,7 @@
 			Peers:     names,
 			Heartbeat: c.settings.Heartbeat,
 			Election:  c.settings.Election,
+			Replace:   replaceAfter,
 		},
 		Keeper:    c.keeper,
 		Transport: c.transport,
@@ -109,11 +117,16 @@
 	if err != nil {
 		return err
 	}
+	c.transport.SetPeers(c.settings.Replicas)
 	c.join(&messenger.Fact{
-		Control: true,
+		Control:  true,
+		Founding: c.settings.Founding,
 	}, c)
 	service := operator.NewService(&operated{control: c}, renderer.New(parser.New()))
 	c.operators = server(operator.NewHandler(service, c.settings.Tokens))
+	if c.adapter != nil {
+		c.operators = server(c.adapter.Operators(service))
+	}
 	c.platform = server(platform.NewHandler(c.registry, c.unready, nil))
 	return nil
 }
@@ -140,7 +153,9 @@
 }
 
 // MembersChanged implements coordinator.Watcher.
-func (c *control) MembersChanged() {}
+func (c *control) MembersChanged() {
+	c.follow()
+}
 
 // Run implements fireflymoor.Process.
 func (c *control) Run(ctx context.Context) error {
@@ -157,6 +172,8 @@
 	group.Go(func() { c.controller.Run(working) })
 	group.Go(func() { c.transport.Run(working) })
 	group.Go(func() { c.closeIdle(working) })
+	group.Go(func() { c.sequencer.Every(working, followInterval, c.follow) })
+	group.Go(func() { c.found(working) })
 	c.log.Info().Str("zone", c.settings.Zone).Str("disk", c.keeper.Disk()).Msg("process: control replica started")
 	<-ctx.Done()
 	c.shutdown(c.operators)
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -58,10 +58,11 @@
 	boot        uint64
 	listeners   map[string]net.Listener
 	lines       io.Closer
+	adapter     Adapter
 }
 
 // newMember returns a member that listens on the addresses.
-func newMember(settings loader.Settings, out io.Writer, addresses ...string) (*member, error) {
+func newMember(settings loader.Settings, out io.Writer, options []Option, addresses ...string) (*member, error) {
 	lines := diode.NewWriter(out, logLines, 0, func(int) {})
 	log := zerolog.New(lines).Level(settings.Level).With().
 		Timestamp().Str("process", settings.Name).Logger()
@@ -70,16 +71,16 @@
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
-	options := []asserter.Option{asserter.WithExit(func(status int) { exit(lines, status) })}
+	asserting := []asserter.Option{asserter.WithExit(func(status int) { exit(lines, status) })}
 	if settings.CountViolations {
-		options = append(options, asserter.WithCountOnly())
+		asserting = append(asserting, asserter.WithCountOnly())
 	}
 	now := time.Now()
 	m := &member{
 		settings:  settings,
 		log:       log,
 		registry:  registry,
-		asserter:  asserter.New(log, registry, options...),
+		asserter:  asserter.New(log, registry, asserting...),
 		counter:   counter.New(registry),
 		sequencer: sequencer.New(),
 		random:    rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
@@ -89,12 +90,18 @@
 	}
 	m.dialer = dialer.New(settings.Overlay, m.counter)
 	m.client = neighbour.NewClient(m.dialer)
+	for _, option := range options {
+		option(m)
+	}
 	return m, m.listen(addresses)
 }
 
 // listen opens all listeners, so that a taken address is found at once.
 func (m *member) listen(addresses []string) error {
 	for _, address := range addresses {
+		if address == "" {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			m.close()
@@ -158,6 +165,9 @@
 
 // serve serves HTTP on an address until the server is shut down.
 func (m *member) serve(group *sync.WaitGroup, s *http.Server, address string) {
+	if address == "" {
+		return
+	}
 	s.ErrorLog = quietLog(m.log)
 	group.Go(func() {
 		if err := s.Serve(m.listeners[address]); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -58,12 +58,16 @@
 	callers  *http.Server
 	calls    *http.Server
 	platform *http.Server
+	// ready and announcements are served only through an adapter.
+	ready         *http.Server
+	announcements *http.Server
 }
 
 // NewNode returns a new fireflymoor.Process for the role of a node. Its
 // addresses are taken at once.
-func NewNode(settings loader.Settings, out io.Writer) (fireflymoor.Process, error) {
-	m, err := newMember(settings, out, settings.Overlay, settings.Calls, settings.Callers, settings.Platform)
+func NewNode(settings loader.Settings, out io.Writer, options ...Option) (fireflymoor.Process, error) {
+	m, err := newMember(settings, out, options, settings.Overlay, settings.Calls, settings.Callers, settings.Platform,
+		settings.Ready, settings.Announcements)
 	if err != nil {
 		return nil, err
 	}
@@ -88,9 +92,11 @@
 
 // serveCalls makes the handlers that carry traffic.
 func (n *node) serveCalls() {
-	local := target.NewServer(n.targets, n.dialer)
+	local := target.NewServer(n.targets, n.dialect(), n.dialer)
 	handler := caller.New(caller.Options{
 		Node:      n.settings.Name,
+		Origin:    n.settings.CallerService,
+		Dialect:   n.dialect(),
 		Viewer:    n,
 		Balancer:  balancer.NewTwoChoices(),
 		Forwarder: forwarder.New(n.settings.Name, local, n.remote),
@@ -108,6 +114,10 @@
 	n.callers.Protocols.SetUnencryptedHTTP2(true)
 	n.calls = server(receiver.New(n.boot, local, registrar.New(), n.log))
 	n.platform = server(platform.NewHandler(n.registry, n.unready, n.targets))
+	if n.adapter != nil {
+		n.ready = server(n.adapter.Ready(n.unready))
+		n.announcements = server(n.adapter.Announcements(n.targets))
+	}
 }
 
 // View implements fireflymoor.Viewer.
@@ -138,6 +148,10 @@
 	n.serve(&group, n.callers, n.settings.Callers)
 	n.serve(&group, n.calls, n.settings.Calls)
 	n.serve(&group, n.platform, n.settings.Platform)
+	if n.adapter != nil {
+		n.serve(&group, n.ready, n.settings.Ready)
+		n.serve(&group, n.announcements, n.settings.Announcements)
+	}
 	group.Go(func() { n.coordinator.Run(working) })
 	group.Go(func() { n.confirm(working) })
 	group.Go(func() { n.sequencer.Every(working, reportInterval, func() { n.report(working) }) })
@@ -169,6 +183,10 @@
 	n.shutdown(n.callers)
 	n.shutdown(n.calls)
 	n.shutdown(n.platform)
+	if n.adapter != nil {
+		n.shutdown(n.ready)
+		n.shutdown(n.announcements)
+	}
 }
 
 func (n *node) mux() *drpcmux.Mux {
@@ -277,7 +295,11 @@
 // in force.
 func (n *node) confirm(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, replica := range n.settings.Replicas {
+		var replicas []loader.Replica
+		if err := n.sequencer.Do(ctx, func() { replicas = n.replicas() }); err != nil {
+			return
+		}
+		for _, replica := range replicas {
 			later, err := n.confirmAt(ctx, replica)
 			if err == nil && later == 0 {
 				return
--- a/internal/runner/operated.go
+++ b/internal/runner/operated.go
@@ -68,22 +68,23 @@
 
 // Bootstrap implements operator.Replica.
 func (o *operated) Bootstrap(ctx context.Context) error {
-	return o.controller.Bootstrap(ctx, func(ctx context.Context) ([]*messenger.Identity, error) {
-		var others []*messenger.Identity
-		for _, r := range o.settings.Replicas {
-			if r.Name == o.settings.Name {
-				continue
-			}
-			identity, err := o.transport.Identify(ctx, r.Name, r.Address)
-			if err != nil {
-				return nil, err
-			}
-			others = append(others, identity)
+	addresses := make([]string, 0, len(o.settings.Replicas))
+	for _, r := range o.settings.Replicas {
+		if r.Name != o.settings.Name {
+			addresses = append(addresses, r.Address)
 		}
-		return others, nil
+	}
+	return o.controller.Bootstrap(ctx, o.asMember(), 0, func(ctx context.Context) ([]*messenger.Identity, error) {
+		return o.identifyAll(ctx, addresses)
 	})
 }
 
+// Confirm implements operator.Replica.
+func (o *operated) Confirm(ctx context.Context) error {
+	_, err := o.controller.Confirm(ctx)
+	return err
+}
+
 // Backup implements operator.Replica.
 func (o *operated) Backup(context.Context) (string, error) {
 	name := fmt.Sprintf("backup-%s.db", time.Now().UTC().Format("20060102-150405.000"))
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -81,8 +81,9 @@
 func (p *controlPeers) Identify(ctx context.Context, _ *messenger.Empty) (*messenger.Identity, error) {
 	c := p.control
 	identity := &messenger.Identity{
-		Name: c.settings.Name,
-		Disk: c.keeper.Disk(),
+		Name:    c.settings.Name,
+		Disk:    c.keeper.Disk(),
+		Address: c.settings.AdvertisedOverlay,
 	}
 	err := c.sequencer.Do(ctx, func() {
 		identity.Blank = c.controller.Blank()
--- /dev/null
+++ b/internal/runner/replicas.go
@@ -0,0 +1,84 @@
+package runner
+
+import (
+	"github.com/fireflymoor/fireflymoor/internal/loader"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/replicator"
+)
+
+// controlFacts returns the facts of the other control replicas that have not
+// left. It is called on the sequencer.
+func (m *member) controlFacts() []*messenger.Fact {
+	var facts []*messenger.Fact
+	for _, f := range m.coordinator.Announcer().Facts() {
+		left := f.GetState() == messenger.MemberState_MEMBER_LEFT
+		if f.GetControl() && !left && f.GetName() != m.settings.Name {
+			facts = append(facts, f)
+		}
+	}
+	return facts
+}
+
+// replicas returns the control replicas that are known: those that the
+// settings name, or else those that are heard of and the seeds. It is called
+// on the sequencer.
+func (m *member) replicas() []loader.Replica {
+	if len(m.settings.Replicas) > 0 {
+		return m.settings.Replicas
+	}
+	var replicas []loader.Replica
+	known := map[string]bool{}
+	for _, f := range m.controlFacts() {
+		known[f.GetOverlayAddress()] = true
+		if f.GetState() != messenger.MemberState_MEMBER_ALIVE {
+			continue
+		}
+		replicas = append(replicas, loader.Replica{
+			Name:    f.GetName(),
+			Address: f.GetOverlayAddress(),
+		})
+	}
+	for _, seed := range m.settings.SeedAddresses {
+		if !known[seed] {
+			replicas = append(replicas, loader.Replica{
+				Address: seed,
+			})
+		}
+	}
+	return replicas
+}
+
+// follow has the log replicated to the replicas that are known, and its
+// messages sent to the addresses that they have.
+func (c *control) follow() {
+	if len(c.settings.Replicas) > 0 {
+		return
+	}
+	addresses := map[string]string{}
+	for _, m := range c.controller.Status().Members {
+		if m.GetAddress() != "" {
+			addresses[m.GetName()] = m.GetAddress()
+		}
+	}
+	var peers []replicator.Peer
+	for _, f := range c.controlFacts() {
+		addresses[f.GetName()] = f.GetOverlayAddress()
+		if f.GetState() != messenger.MemberState_MEMBER_ALIVE {
+			continue
+		}
+		peers = append(peers, replicator.Peer{
+			Name:     f.GetName(),
+			Address:  f.GetOverlayAddress(),
+			Founding: f.GetFounding(),
+		})
+	}
+	var replicas []loader.Replica
+	for name, address := range addresses {
+		replicas = append(replicas, loader.Replica{
+			Name:    name,
+			Address: address,
+		})
+	}
+	c.transport.SetPeers(replicas)
+	c.controller.SetPeers(peers)
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -53,7 +53,7 @@
 }
 
 func (n *node) tellReplicas(ctx context.Context, sum *messenger.ZoneReport) {
-	for _, replica := range n.settings.Replicas {
+	for _, replica := range n.replicas() {
 		go n.call(ctx, replica.Address, func(ctx context.Context, conn drpc.Conn) error {
 			_, err := messenger.NewDRPCSourceClient(conn).ReportZone(ctx, sum)
 			return err
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -29,6 +29,22 @@
 	Address string `json:"address"`
 	// Slots is the number of calls it serves at once.
 	Slots int `json:"slots"`
+	// Started is when the target started, in Unix milliseconds by its own
+	// clock, or 0.
+	Started int64 `json:"started,omitempty"`
+	// Sequence numbers the target's announcements from its start, so that a
+	// late one is known, or is 0.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// Draining says that the target wants no new work.
+	Draining bool `json:"draining,omitempty"`
+	// Cold is how much longer the target is slow after its start, in
+	// milliseconds.
+	Cold int64 `json:"cold,omitempty"`
+}
+
+// same says whether b describes the same target with the same capacity.
+func (a Announcement) same(b Announcement) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.Slots == b.Slots && a.Started == b.Started
 }
 
 // local is one announced target.
@@ -39,6 +55,18 @@
 	renewed      time.Time
 }
 
+// mark is the last that was heard of a target, which outlasts it.
+type mark struct {
+	started  int64
+	sequence uint64
+	gone     bool
+	heard    time.Time
+}
+
+// markLife is how long a target that is gone is remembered. It is longer than
+// an announcement may be held up on its way.
+const markLife = 5 * time.Minute
+
 // A Registry holds the targets that are announced and whose leases last.
 type Registry struct {
 	node    string
@@ -48,6 +76,7 @@
 
 	lock          sync.Mutex
 	targets       map[string]*local
+	marks         map[string]*mark
 	configuration fireflymoor.Configuration
 	leaving       bool
 }
@@ -61,24 +90,74 @@
 		log:     log,
 		changed: changed,
 		targets: map[string]*local{},
+		marks:   map[string]*mark{},
 	}
 }
 
-// Announce adds a target or renews its lease.
+// Announce adds a target, renews its lease or drains it. An announcement that
+// is older than what is known changes nothing.
 func (r *Registry) Announce(a Announcement, now time.Time) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if known := r.targets[a.ID]; known != nil && known.announcement == a {
-		known.renewed = now
+	if reason := r.stale(a); reason != "" {
+		r.log.Info().Str("target", a.ID).Int64("started", a.Started).Uint64("sequence", a.Sequence).
+			Str("reason", reason).Msg("target: announcement ignored")
 		return
 	}
-	r.targets[a.ID] = &local{
+	r.marks[a.ID] = &mark{
+		started:  a.Started,
+		sequence: a.Sequence,
+		heard:    now,
+	}
+	known := r.targets[a.ID]
+	if known == nil || !known.announcement.same(a) {
+		r.replaceAt(a)
+		known = r.add(a)
+	}
+	known.announcement = a
+	known.renewed = now
+	if a.Draining {
+		r.drain(a.ID)
+	}
+}
+
+// stale says why an announcement is older than what is known, or nothing.
+func (r *Registry) stale(a Announcement) string {
+	m := r.marks[a.ID]
+	switch {
+	case m != nil && a.Started < m.started:
+		return "the target has started again since"
+	case m != nil && a.Started == m.started && m.gone && a.Started > 0:
+		return "the target is gone"
+	case m != nil && a.Started == m.started && a.Sequence < m.sequence:
+		return "a later one was heard"
+	}
+	for id, t := range r.targets {
+		if id != a.ID && t.announcement.Address == a.Address && a.Started < t.announcement.Started {
+			return "a later target has the address"
+		}
+	}
+	return ""
+}
+
+// replaceAt drops the other targets at the address of a new one.
+func (r *Registry) replaceAt(a Announcement) {
+	for _, id := range r.ids() {
+		if r.targets[id].announcement.Address == a.Address {
+			r.drop(id, "another target has its address")
+		}
+	}
+}
+
+func (r *Registry) add(a Announcement) *local {
+	t := &local{
 		announcement: a,
 		limiter:      limiter.New(r.slots(a), r.queue(a)),
-		renewed:      now,
 	}
+	r.targets[a.ID] = t
 	r.log.Info().Str("target", a.ID).Str("service", a.Service).Str("address", a.Address).Msg("target: announced")
 	r.tell()
+	return t
 }
 
 func (r *Registry) slots(a Announcement) int {
@@ -112,9 +191,37 @@
 		return ErrUnknown
 	}
 	r.drop(id, "withdrawn")
+	if m := r.marks[id]; m != nil {
+		m.gone = true
+	}
 	return nil
 }
 
+// Leave drops a target that says it is going, and ignores what it said before
+// and is still on its way. Started is when it started, or 0 if it does not
+// say. What an earlier start of the target says changes nothing.
+func (r *Registry) Leave(id string, started int64, now time.Time) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	m := r.marks[id]
+	if m == nil {
+		m = &mark{
+			started: started,
+		}
+		r.marks[id] = m
+	}
+	if started > 0 && started < m.started {
+		r.log.Info().Str("target", id).Int64("started", started).Msg("target: an earlier start says it is going, ignored")
+		return
+	}
+	m.started = max(m.started, started)
+	m.gone = true
+	m.heard = now
+	if r.targets[id] != nil {
+		r.drop(id, "left")
+	}
+}
+
 func (r *Registry) drop(id, reason string) {
 	r.targets[id].limiter.Drain()
 	delete(r.targets, id)
@@ -127,16 +234,20 @@
 func (r *Registry) Drain(id string) (<-chan struct{}, error) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	t := r.targets[id]
-	if t == nil {
+	if r.targets[id] == nil {
 		return nil, ErrUnknown
 	}
+	return r.drain(id), nil
+}
+
+func (r *Registry) drain(id string) <-chan struct{} {
+	t := r.targets[id]
 	if !t.draining {
 		t.draining = true
 		r.log.Info().Str("target", id).Msg("target: draining")
 		r.tell()
 	}
-	return t.limiter.Drain(), nil
+	return t.limiter.Drain()
 }
 
 // DrainAll gives no target new work.
@@ -159,6 +270,11 @@
 			r.drop(id, "lease ran out")
 		}
 	}
+	for id, m := range r.marks {
+		if r.targets[id] == nil && now.Sub(m.heard) > markLife {
+			delete(r.marks, id)
+		}
+	}
 }
 
 func (r *Registry) ids() []string {
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -27,13 +27,15 @@
 // their slots, so that its NotRun is the truth.
 type Server struct {
 	registry  *Registry
+	dialect   fireflymoor.Dialect
 	transport *http.Transport
 }
 
-// NewServer returns a new Server.
-func NewServer(registry *Registry, dialer *dialer.Dialer) *Server {
+// NewServer returns a new Server that speaks dialect with the targets.
+func NewServer(registry *Registry, dialect fireflymoor.Dialect, dialer *dialer.Dialer) *Server {
 	return &Server{
 		registry:  registry,
+		dialect:   dialect,
 		transport: sender.NewTransport(connections, dialer.Traffic(dialTimeout), idleTimeout),
 	}
 }
@@ -47,14 +49,11 @@
 	if err := t.limiter.Acquire(ctx); err != nil {
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(err, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
 	}
-	out := sender.Prepare(ctx, in, t.announcement.Address, in.Body, in.ContentLength)
-	labeler.CleanRequest(out.Header)
-	response, outcome, err := sender.Send(s.transport, out)
+	response, outcome, err := s.send(ctx, t, in)
 	if err != nil {
 		t.limiter.Release()
 		return nil, outcome, err
 	}
-	labeler.SetLoad(response.Header, t.limiter.Load())
 	response.Body = &releasingBody{
 		ReadCloser: response.Body,
 		limiter:    t.limiter,
@@ -62,6 +61,44 @@
 	return response, fireflymoor.Answered, nil
 }
 
+// send sends a call to a target whose slot has been taken.
+func (s *Server) send(ctx context.Context, t *local, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
+	out := sender.Prepare(ctx, in, t.announcement.Address, in.Body, in.ContentLength)
+	origin := out.Header.Get(labeler.Origin)
+	labeler.CleanRequest(out.Header)
+	s.dialect.WriteDispatch(out.Header, fireflymoor.Dispatch{
+		Target: t.announcement.ID,
+		Left:   left(ctx),
+		Origin: origin,
+	})
+	response, outcome, err := sender.Send(s.transport, out)
+	if err != nil {
+		return nil, outcome, err
+	}
+	verdict := s.dialect.ReadAnswer(out.Header, response.Header, response.StatusCode)
+	if verdict.Err == nil && !verdict.NotRun {
+		labeler.SetLoad(response.Header, t.limiter.Load())
+		return response, fireflymoor.Answered, nil
+	}
+	_ = response.Body.Close()
+	switch {
+	case verdict.Err != nil:
+		return nil, fireflymoor.Unknown, errors.Wrapf(verdict.Err, "target %s: read the answer", t.announcement.ID)
+	case verdict.Draining:
+		return nil, fireflymoor.NotRun, errors.Wrapf(fireflymoor.ErrDraining, "target %s: refused", t.announcement.ID)
+	}
+	return nil, fireflymoor.NotRun, errors.Wrapf(fireflymoor.ErrBusy, "target %s: refused", t.announcement.ID)
+}
+
+// left returns the time that ctx has left, or 0 if it has no deadline.
+func left(ctx context.Context) time.Duration {
+	at, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(at), 0)
+}
+
 // releasingBody gives the slot back once the answer has been read or left.
 type releasingBody struct {
 	io.ReadCloser
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -2,6 +2,10 @@
 package parser
 
 import (
+	"cmp"
+	"fmt"
+	"math"
+	"strconv"
 	"strings"
 	"time"
 
@@ -15,10 +19,13 @@
 	MaxText        = 1 << 20
 	MaxSlots       = 10_000
 	MaxQueue       = 100_000
-	MaxRetries     = 5
+	MaxRetries     = 100
 	MaxTimeout     = 10 * time.Minute
 	MaxSlowStart   = 10 * time.Minute
 	MaxBodyBytes   = 1 << 30
+	MaxHeadBytes   = 1 << 20
+	MaxPriority    = 1_000
+	MaxConnections = 1_000_000
 	DefaultSlots   = 20
 	DefaultQueue   = 40
 	DefaultTimeout = 10 * time.Second
@@ -79,9 +86,19 @@
 		}
 		s.Close()
 	}
+	c.limitBodies()
 	return c
 }
 
+// limitBodies gives the routes that set no largest body that of the limits.
+func (c content) limitBodies() {
+	for i := range c.routes {
+		if c.routes[i].MaxBody < 0 {
+			c.routes[i].MaxBody = cmp.Or(c.limits.MaxBody, DefaultBody)
+		}
+	}
+}
+
 func readService(s *Section, name string) fireflymoor.Service {
 	s.CheckName(name)
 	return fireflymoor.Service{
@@ -89,6 +106,9 @@
 		Slots:     s.Int("slots", DefaultSlots, 1, MaxSlots),
 		Queue:     s.Int("queue", DefaultQueue, 0, MaxQueue),
 		SlowStart: s.Duration("slow-start", 0, 0, MaxSlowStart),
+
+		HealthPath:  s.String("health-path", ""),
+		Connections: s.Int("connections", 0, 0, MaxConnections),
 	}
 }
 
@@ -98,11 +118,18 @@
 		Name:       name,
 		Host:       s.String("host", ""),
 		PathPrefix: s.String("path-prefix", "/"),
-		Service:    s.Required("service"),
+		Split:      readSplit(s),
 		Timeout:    s.Duration("timeout", DefaultTimeout, time.Millisecond, MaxTimeout),
 		Retries:    s.Int("retries", DefaultRetries, 0, MaxRetries),
 		Idempotent: s.Words("idempotent", defaultIdempotent),
-		MaxBody:    int64(s.Int("max-body", DefaultBody, 0, MaxBodyBytes)),
+		MaxBody:    int64(s.Int("max-body", -1, 0, MaxBodyBytes)),
+		Objective:  s.Duration("objective", 0, 0, MaxTimeout),
+		Priority:   s.Int("priority", 0, 0, MaxPriority),
+	}
+	if len(route.Split) == 0 {
+		route.Service = s.Required("service")
+	} else if s.String("service", "") != "" {
+		s.Fault("service", "stands beside a split")
 	}
 	if !strings.HasPrefix(route.PathPrefix, "/") {
 		s.Fault("path-prefix", "does not begin with /")
@@ -110,10 +137,38 @@
 	return route
 }
 
+// readSplit reads the services of a route that parts its calls, each as
+// SERVICE:WEIGHT.
+func readSplit(s *Section) []fireflymoor.Share {
+	var split []fireflymoor.Share
+	total := 0.0
+	for _, word := range s.Words("split", nil) {
+		name, text, ok := strings.Cut(word, ":")
+		weight, err := strconv.ParseFloat(text, 64)
+		if !ok || err != nil || !(weight >= 0) || math.IsInf(weight, 0) {
+			s.Fault("split", fmt.Sprintf("%q is not SERVICE:WEIGHT with a weight of 0 or more", word))
+			return split
+		}
+		total += weight
+		split = append(split, fireflymoor.Share{
+			Service: name,
+			Weight:  weight,
+		})
+	}
+	if len(split) > 0 && total <= 0 {
+		s.Fault("split", "the weights add up to 0")
+	}
+	return split
+}
+
 func readLimits(s *Section) fireflymoor.Limits {
 	return fireflymoor.Limits{
 		RetryBudget: s.Int("retry-budget", DefaultBudget, 0, percent),
 		EjectShare:  s.Int("eject-share", DefaultEject, 0, percent),
+		MaxBody:     int64(s.Int("max-body", 0, 0, MaxBodyBytes)),
+		MaxHead:     s.Int("max-head", 0, 0, MaxHeadBytes),
+		HeadTimeout: s.Duration("head-timeout", 0, 0, MaxTimeout),
+		IdleTimeout: s.Duration("idle-timeout", 0, 0, MaxTimeout),
 	}
 }
 
@@ -126,8 +181,10 @@
 	for i := range c.routes {
 		r := c.routes[i]
 		section := "route " + r.Name
-		if r.Service != "" && !services[r.Service] {
-			d.Fault(section, "service", "no service "+r.Service+" in this configuration")
+		for _, name := range r.Services() {
+			if name != "" && !services[name] {
+				d.Fault(section, "service", "no service "+name+" in this configuration")
+			}
 		}
 		match := strings.ToLower(r.Host) + r.PathPrefix
 		if other, ok := matches[match]; ok {
--- a/pkg/renderer/renderer.go
+++ b/pkg/renderer/renderer.go
@@ -16,7 +16,7 @@
 
 // Bounds of the inputs, in bytes.
 const (
-	MaxTemplate = 256 << 10
+	MaxTemplate = parser.MaxText
 	MaxValues   = 64 << 10
 )
 
