Send a report of the held version again as soon as it is lost

Cause: a report of the version that a node, or a zone, holds was noted as told before it had arrived. One that was lost, as with a connection that died in a cut, was sent again after 15 s (nodes) or 5 s (zones), later than the 4 s in which a version must be seen in force everywhere. A report that came before the sender's fact was dropped by the next sum and, being delivered, not repeated.

Ruled out: nodes that lack the version (they answer calls by it; only the sums were late); the log and its quorum (the change had been accepted during the cut).

--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -35,17 +35,23 @@
 	told   *messenger.HeldReport
 	toldTo []string
 	toldAt time.Time
-	heard  map[string]*messenger.HeldReport
+	heard  map[string]heard
 	sum    *messenger.ZoneReport
 	sumAt  time.Time
 }
 
+// heard is the last report of a node.
+type heard struct {
+	report *messenger.HeldReport
+	at     time.Time
+}
+
 // New returns a new Reporter for the node called name.
 func New(zone, name string) *Reporter {
 	return &Reporter{
 		zone:  zone,
 		name:  name,
-		heard: map[string]*messenger.HeldReport{},
+		heard: map[string]heard{},
 	}
 }
 
@@ -69,14 +75,19 @@
 	return reporters
 }
 
-// Hear takes a node's report.
-func (r *Reporter) Hear(report *messenger.HeldReport) {
-	r.heard[report.GetName()] = report
+// Hear takes a node's report. It may come before the node is known to live: it
+// counts as soon as it is.
+func (r *Reporter) Hear(report *messenger.HeldReport, now time.Time) {
+	r.heard[report.GetName()] = heard{
+		report: report,
+		at:     now,
+	}
 }
 
 // Sum returns the sum over the zone's live nodes, or nil if it is not due.
 func (r *Reporter) Sum(number uint64, nodes []*messenger.Fact, now time.Time) *messenger.ZoneReport {
 	sum := r.add(number, nodes)
+	r.forget(nodes, now)
 	if number != r.number {
 		r.number = number
 		r.numberAt = now
@@ -103,26 +114,40 @@
 		Number:   number,
 		Nodes:    uint32(len(nodes)),
 	}
-	alive := map[string]*messenger.HeldReport{}
 	for _, f := range nodes {
-		report := r.heard[f.GetName()]
+		report := r.heard[f.GetName()].report
 		if report == nil || report.GetBoot() != f.GetBoot() {
 			report = &messenger.HeldReport{
 				Name: f.GetName(),
 				Boot: f.GetBoot(),
 			}
 		}
-		alive[f.GetName()] = report
 		if report.GetHeld() >= number {
 			sum.Holding++
 			continue
 		}
 		sum.Lagging = append(sum.Lagging, report)
 	}
-	r.heard = alive
 	slices.SortFunc(sum.Lagging, func(a, b *messenger.HeldReport) int {
 		return cmp.Compare(a.GetName(), b.GetName())
 	})
 	sum.Lagging = sum.GetLagging()[:min(len(sum.GetLagging()), namedLaggards)]
 	return sum
 }
+
+// forget drops the reports of nodes that are not there and have not reported
+// for two repeats.
+func (r *Reporter) forget(nodes []*messenger.Fact, now time.Time) {
+	if len(r.heard) <= len(nodes) {
+		return
+	}
+	there := map[string]bool{}
+	for _, f := range nodes {
+		there[f.GetName()] = true
+	}
+	for name, h := range r.heard {
+		if !there[name] && now.Sub(h.at) > 2*repeat {
+			delete(r.heard, name)
+		}
+	}
+}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -23,7 +23,6 @@
 	"github.com/fireflymoor/fireflymoor/internal/platform"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
-	"github.com/fireflymoor/fireflymoor/internal/reporter"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
@@ -45,15 +44,15 @@
 type node struct {
 	*member
 
-	applier  *applier.Applier
-	reporter *reporter.Reporter
-	targets  *target.Registry
-	tracker  *tracker.Tracker
-	remote   *forwarder.Remote
-	claims   *claims
-	view     atomic.Pointer[fireflymoor.View]
-	viewDue  bool
-	leaving  atomic.Bool
+	applier *applier.Applier
+	reports *reports
+	targets *target.Registry
+	tracker *tracker.Tracker
+	remote  *forwarder.Remote
+	claims  *claims
+	view    atomic.Pointer[fireflymoor.View]
+	viewDue bool
+	leaving atomic.Bool
 
 	callers  *http.Server
 	calls    *http.Server
@@ -72,12 +71,12 @@
 		return nil, err
 	}
 	n := &node{
-		member:   m,
-		applier:  applier.New(settings.Team, renderer.New(parser.New()), m.asserter),
-		reporter: reporter.New(settings.Zone, settings.Name),
-		tracker:  tracker.New(settings.Zone),
-		remote:   forwarder.NewRemote(m.dialer),
-		claims:   newClaims(settings, m.client),
+		member:  m,
+		applier: applier.New(settings.Team, renderer.New(parser.New()), m.asserter),
+		reports: newReports(settings.Zone, settings.Name),
+		tracker: tracker.New(settings.Zone),
+		remote:  forwarder.NewRemote(m.dialer),
+		claims:  newClaims(settings, m.client),
 	}
 	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
 	n.view.Store(&empty)
@@ -209,7 +208,7 @@
 // ReportHeld implements messenger.DRPCOverlayServer.
 func (o *nodeOverlay) ReportHeld(_ context.Context, report *messenger.HeldReport) (*messenger.Empty, error) {
 	o.node.sequencer.Post(func() {
-		o.node.reporter.Hear(report)
+		o.node.reports.reporter.Hear(report, time.Now())
 	})
 	return &messenger.Empty{}, nil
 }
