Order and early refusal at the target, a retry budget of each service, own zone first

Now the queue is in the order of rank (calls that running calls make, then priority), and a call is refused on arrival if it is not likely to begin within a third of its spare time. Now the zone is left only if its target is full or three times slower.

Ruled out: returning callers before new ones of the same rank. In a lasting overload all would be served on their return only, late.

--- a/cmd/fireflybench/standin.go
+++ b/cmd/fireflybench/standin.go
@@ -122,10 +122,12 @@
 	if t.fails {
 		return nil, fireflymoor.Unknown, errors.New("stand-in: broke off")
 	}
-	if err := t.limiter.Acquire(ctx); err != nil {
+	ticket := limiter.Ticket{}
+	began := time.Now()
+	if err := t.limiter.Acquire(ctx, ticket); err != nil {
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrap(err, "stand-in"), fireflymoor.ErrBusy)
 	}
-	defer t.limiter.Release()
+	defer func() { t.limiter.Release(ticket, time.Since(began)) }()
 	select {
 	case <-ctx.Done():
 		return nil, fireflymoor.Unknown, errors.Wrap(ctx.Err(), "stand-in")
--- a/cmd/fireflymoor/main.go
+++ b/cmd/fireflymoor/main.go
@@ -98,9 +98,33 @@
 	if err != nil {
 		return err
 	}
+	defer reloadOnHangup(ctx, process, path)()
 	return process.Run(ctx)
 }
 
+// reloadOnHangup has a process read its settings again at each SIGHUP, until
+// the returned function is called.
+func reloadOnHangup(ctx context.Context, process fireflymoor.Process, path string) (stop func()) {
+	reloader, ok := process.(fireflymoor.Reloader)
+	if !ok {
+		return func() {}
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+				// The reloader logs what is wrong: the settings before stay.
+				_ = reloader.Reload(path)
+			}
+		}
+	}()
+	return func() { signal.Stop(hangups) }
+}
+
 func newProcess(settings loader.Settings, out io.Writer, options ...runner.Option) (fireflymoor.Process, error) {
 	if settings.Role == loader.RoleControl {
 		return runner.NewControl(settings, out, options...)
--- a/dialect.go
+++ b/dialect.go
@@ -9,6 +9,9 @@
 type CallHead struct {
 	// ID names the call by its caller, or is empty.
 	ID string
+	// Parent is the id of the call in whose course a target makes this one, or
+	// empty.
+	Parent string
 	// Left is how long the caller will wait, or 0 if it does not say.
 	Left time.Duration
 }
--- a/fireflymoor.go
+++ b/fireflymoor.go
@@ -18,6 +18,12 @@
 	Run(ctx context.Context) error
 }
 
+// A Reloader takes the settings in a file that has changed while it runs. What
+// cannot change in a running process takes effect at its next start.
+type Reloader interface {
+	Reload(path string) error
+}
+
 // A Renderer makes a team's configuration from its template and values. The
 // same inputs always give the same result; errors are Faults.
 type Renderer interface {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -13,8 +13,9 @@
 	full = 1.0
 	// leastWeight keeps a cold target from getting no work at all.
 	leastWeight = 0.05
-	// farCost is how many times more a target of the own zone may cost than
-	// one elsewhere and still be picked.
+	// farCost is how many times longer a call may take at a target of the own
+	// zone than at one elsewhere and still go there: links between zones are
+	// dear.
 	farCost = 3
 )
 
@@ -49,7 +50,7 @@
 	near := lowerOfTwo(candidates, true, false, base)
 	far := lowerOfTwo(candidates, false, false, base)
 	switch {
-	case near != nil && (far == nil || cost(near, base) <= farCost*cost(far, base)):
+	case near != nil && (far == nil || delay(near, base) <= farCost*delay(far, base)):
 		return pick(near, ReasonLocal), true
 	case far != nil:
 		return pick(far, ReasonSpill), true
@@ -116,6 +117,17 @@
 	return c.InFlight >= max(c.Target.Slots, 1) || c.Load >= full
 }
 
+// delay is how long a call takes at a target in proportion to the others. As
+// long as a target has free slots, the calls in them do not hold up one more.
+func delay(c *fireflymoor.Candidate, base time.Duration) float64 {
+	latency := 1.0
+	if c.Latency > 0 {
+		latency = float64(c.Latency) / float64(base)
+	}
+	used := float64(c.InFlight) / float64(max(c.Target.Slots, 1))
+	return latency * max(used, c.Load, 1) / max(c.Weight, leastWeight)
+}
+
 // cost is the time that one more call would take at a target in proportion to
 // the others: its latency, times the calls that share its slots. A target
 // that is not known yet is taken to be as fast as the fastest.
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -31,6 +31,12 @@
 	return c
 }
 
+// inFlight returns a candidate at which the proxy has calls.
+func inFlight(c fireflymoor.Candidate, calls int) fireflymoor.Candidate {
+	c.InFlight = calls
+	return c
+}
+
 // TestTwoChoices has the cases of a pick, each with the targets that may be
 // picked.
 func TestTwoChoices(t *testing.T) {
@@ -54,6 +60,13 @@
 			},
 			allowed: "a",
 		},
+		{
+			name: "the zone while it has slots, although this proxy uses many of them",
+			candidates: []fireflymoor.Candidate{
+				inFlight(candidate("a", 0.7, 1, true), 14), candidate("b", 0, 1, false), candidate("c", 0, 1, false),
+			},
+			allowed: "a",
+		},
 		{
 			name: "others when the zone is full",
 			candidates: []fireflymoor.Candidate{
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -30,12 +31,29 @@
 	errOverBudget = errors.New("the budget for retries is spent")
 )
 
+const (
+	// mostTries bounds the tries of one call at targets' nodes, most of which
+	// may refuse it: each costs the way there and back.
+	mostTries = 3
+	// nestedRank is the rank of the calls that running calls make: their
+	// parents hold slots while these wait.
+	nestedRank = -1
+	// Callers that are refused should come back within the last and the first
+	// of these parts of the time that they have left, so that they come back
+	// spread out and while there is time.
+	firstReturn = 6
+	lastReturn  = 3
+)
+
 // Options are what a Handler needs.
 type Options struct {
 	// Node is the name of this node.
 	Node string
 	// Origin is the service of the instance that callers stand on, or empty.
 	Origin string
+	// Runs says whether a target of this instance is running the call of an
+	// id.
+	Runs func(id string) bool
 	// Dialect is how callers write what they say of their calls.
 	Dialect fireflymoor.Dialect
 	// Viewer hands out what to route by.
@@ -83,7 +101,12 @@
 	request *http.Request
 	body    *body
 	began   time.Time
-	tried   []string
+	// nested says that a target of this instance makes the call in the course
+	// of another.
+	nested bool
+	tried  []string
+	// arrivals is the number of tries that reached a target.
+	arrivals int
 	// grant is the claim of a call with an idempotency key, or nil.
 	grant *claimer.Grant
 }
@@ -125,10 +148,11 @@
 		service: service,
 		view:    view,
 		request: inner(request, id, h.options.Origin, route),
+		nested:  head.Parent != "" && h.options.Runs(head.Parent),
 		body:    kept,
 		began:   began,
 	}
-	h.options.Budget.Call(began)
+	h.options.Budget.Call(service.Name, began)
 	if key != "" {
 		h.serveOnce(ctx, w, c, key)
 		return
@@ -169,26 +193,40 @@
 // serve tries targets until one answers, or no further try is allowed.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, c *call) {
 	ran := false
-	for try := 0; ; try++ {
+	for {
 		response, outcome, err := h.try(ctx, c)
 		ran = ran || outcome == fireflymoor.Unknown
 		if outcome == fireflymoor.Answered {
 			h.pass(ctx, w, c, response)
 			return
 		}
-		if h.mayRetry(ctx, c, try, outcome, err) {
+		if h.mayRetry(ctx, c, outcome, err) {
 			continue
 		}
 		if ran {
 			outcome = fireflymoor.Unknown
 		}
 		c.conclude(ctx, outcome)
-		status := failureStatus(ctx, c, outcome)
-		h.refuse(w, c.id, status, outcome, err.Error())
+		h.refuseLater(w, c.id, failureStatus(ctx, c, outcome), outcome, err.Error(), comeBack(ctx, outcome))
 		return
 	}
 }
 
+// comeBack returns when the caller of a call that was not run should come back,
+// or 0.
+func comeBack(ctx context.Context, outcome fireflymoor.Outcome) time.Duration {
+	at, ok := ctx.Deadline()
+	if outcome != fireflymoor.NotRun || !ok {
+		return 0
+	}
+	left := time.Until(at)
+	if left <= 0 {
+		return 0
+	}
+	earliest := left / firstReturn
+	return earliest + time.Duration(rand.Int64N(int64(left/lastReturn-earliest)+1))
+}
+
 func failureStatus(ctx context.Context, c *call, outcome fireflymoor.Outcome) int {
 	switch {
 	case c.body.overflowed():
@@ -203,21 +241,24 @@
 
 // mayRetry decides on one more try. A call that was not run may be tried
 // elsewhere whatever its method; one that may have run only if it may repeat.
-func (h *Handler) mayRetry(ctx context.Context, c *call, try int, outcome fireflymoor.Outcome, err error) bool {
+// Only tries that reached a target count as the route's and draw on the budget.
+func (h *Handler) mayRetry(ctx context.Context, c *call, outcome fireflymoor.Outcome, err error) bool {
 	repeatable := outcome == fireflymoor.NotRun || c.route.MayRepeat(c.request.Method)
+	arrived := outcome == fireflymoor.Unknown || errors.Is(err, fireflymoor.ErrArrived)
+	if arrived {
+		c.arrivals++
+	}
 	switch {
-	case errors.Is(err, errNoTarget), try >= c.route.Retries, !repeatable, ctx.Err() != nil:
+	case errors.Is(err, errNoTarget), c.arrivals > c.route.Retries, len(c.tried) >= mostTries, !repeatable, ctx.Err() != nil:
 		return false
 	case !c.body.replayable():
 		h.options.Log.Info().Str("call", c.id).Err(errBodySpent).Msg("caller: no retry")
 		return false
-	case errors.Is(err, fireflymoor.ErrDraining):
-		// The refusal of a leaving target is no sign of overload.
-	case !h.options.Budget.Spend(c.view.Configuration().Limits().RetryBudget, time.Now()):
-		h.options.Log.Info().Str("call", c.id).Err(errOverBudget).Msg("caller: no retry")
+	case arrived && !h.options.Budget.Spend(c.service.Name, c.view.Configuration().Limits().RetryBudget, time.Now()):
+		h.options.Log.Info().Str("call", c.id).Str("service", c.service.Name).Err(errOverBudget).Msg("caller: no retry")
 		return false
 	}
-	return retrier.Wait(ctx, try, outcome) == nil
+	return retrier.Wait(ctx, c.arrivals, outcome) == nil
 }
 
 // try sends the call to one target.
@@ -237,6 +278,7 @@
 	end := h.options.Tracker.Begin(pick.Target, now)
 	c.request.Header.Set(labeler.TargetID, pick.Target.ID)
 	c.request.Body, c.request.ContentLength = c.body.reader()
+	c.label(now)
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
 	if err != nil {
 		end()
@@ -255,6 +297,20 @@
 	return response, outcome, nil
 }
 
+// label tells the target's node the call's rank, and within what time it should
+// be answered. A nested call is of use as long as its parent.
+func (c *call) label(now time.Time) {
+	rank := c.route.Priority
+	if c.nested {
+		rank = nestedRank
+	}
+	c.request.Header.Set(labeler.Rank, strconv.Itoa(rank))
+	if !c.nested && c.route.Objective > 0 {
+		within := max(c.route.Objective-now.Sub(c.began), time.Millisecond)
+		labeler.SetMilliseconds(c.request.Header, labeler.Within, within)
+	}
+}
+
 // failed counts a failure against a target, unless the caller itself gave up
 // or the target's node was merely busy.
 func (h *Handler) failed(ctx context.Context, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
@@ -312,6 +368,11 @@
 }
 
 func (h *Handler) refuse(w http.ResponseWriter, id string, status int, outcome fireflymoor.Outcome, reason string) {
+	h.refuseLater(w, id, status, outcome, reason, 0)
+}
+
+// refuseLater refuses a call whose caller should come back after a time.
+func (h *Handler) refuseLater(w http.ResponseWriter, id string, status int, outcome fireflymoor.Outcome, reason string, after time.Duration) {
 	h.options.Metrics.ended.WithLabelValues(outcome.String()).Inc()
 	if h.options.Decisions {
 		h.options.Log.Info().Str("call", id).Int("status", status).
@@ -321,6 +382,8 @@
 		Status:  status,
 		Outcome: outcome,
 		Reason:  receiver.OneLine(reason),
+
+		RetryAfter: after,
 	}
 	h.options.Dialect.WriteRefusal(w.Header(), refusal)
 	http.Error(w, outcome.String()+": "+refusal.Reason, status)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -152,6 +152,11 @@
 	c.publish()
 }
 
+// SetSeeds replaces the overlay addresses to join by.
+func (c *Coordinator) SetSeeds(seeds []string) {
+	c.options.Seeds = seeds
+}
+
 // Run keeps the overlay going until ctx ends, and then says goodbye. It is
 // called off the sequencer.
 func (c *Coordinator) Run(ctx context.Context) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -257,16 +257,27 @@
 		return response, fireflymoor.Answered, nil
 	case fireflymoor.NotRun.String():
 		discard(response)
-		err := errors.Wrapf(fireflymoor.ErrBusy, "forwarder: %s", reason)
-		if response.Header.Get(labeler.Draining) != "" {
-			err = errors.Mark(err, fireflymoor.ErrDraining)
-		}
-		return nil, fireflymoor.NotRun, err
+		return nil, fireflymoor.NotRun, refusal(response.Header, reason)
 	}
 	discard(response)
 	return nil, fireflymoor.Unknown, errors.Newf("forwarder: outcome unknown: %s", reason)
 }
 
+// refusal returns the error of a call that another node refused.
+func refusal(header http.Header, reason string) error {
+	busy := &fireflymoor.BusyError{
+		Wait: labeler.Milliseconds(header, labeler.Wait),
+	}
+	err := errors.Wrapf(busy, "forwarder: %s", reason)
+	if header.Get(labeler.Draining) != "" {
+		err = errors.Mark(err, fireflymoor.ErrDraining)
+	}
+	if header.Get(labeler.Arrived) != "" {
+		err = errors.Mark(err, fireflymoor.ErrArrived)
+	}
+	return err
+}
+
 // discard reads a short answer to its end, so that its connection can be used
 // again.
 func discard(response *http.Response) {
--- a/internal/labeler/labeler.go
+++ b/internal/labeler/labeler.go
@@ -35,6 +35,16 @@
 	Once = "Fireflymoor-Once"
 	// Draining marks the refusal of a target that gets no new work.
 	Draining = "Fireflymoor-Draining"
+	// Rank is a call's place among those that wait for a target's slot.
+	Rank = "Fireflymoor-Rank"
+	// Within is the time within which a call should be answered, in
+	// milliseconds.
+	Within = "Fireflymoor-Within"
+	// Wait is how long calls wait at a target that refused one, in
+	// milliseconds.
+	Wait = "Fireflymoor-Wait"
+	// Arrived marks the refusal of a target that the call had reached.
+	Arrived = "Fireflymoor-Arrived"
 	// Origin is the service of the instance where a call began.
 	Origin = "Fireflymoor-Origin"
 	// Load is the share of a target's slots in use, from 0 to 1.
@@ -42,7 +52,7 @@
 )
 
 var (
-	inner = []string{TargetID, Boot, Once, Draining, Origin, Load}
+	inner = []string{TargetID, Boot, Once, Draining, Arrived, Origin, Rank, Within, Wait, Load}
 	// hopByHop are the headers that end at each connection.
 	hopByHop = []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
@@ -119,3 +129,17 @@
 	h.Del(Load)
 	return load, err == nil
 }
+
+// SetMilliseconds writes a time.
+func SetMilliseconds(h http.Header, name string, d time.Duration) {
+	h.Set(name, strconv.FormatInt(d.Milliseconds(), 10))
+}
+
+// Milliseconds reads a time, or 0 if there is none that can be read.
+func Milliseconds(h http.Header, name string) time.Duration {
+	n, err := strconv.ParseInt(h.Get(name), 10, 32)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -1,10 +1,13 @@
-// Package limiter holds a target's calls to its slots, with a short queue
-// bounded by the callers' deadlines.
+// Package limiter holds a target's calls to its slots, with a queue in the
+// order in which calls should be served. A call that could not begin in time
+// is refused when it arrives, or as soon as that is known.
 package limiter
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,13 +21,64 @@
 	ErrDeadline = errors.New("the deadline passed in the queue")
 )
 
+const (
+	// holdShare is the share of the newest call in the time that calls hold a
+	// slot.
+	holdShare = 0.1
+	// leastPatience is the part of a call's time that it may wait in any case:
+	// calls of one rank do not all take the same time.
+	leastPatience = 8
+	// waitShare is the part of a call's spare time that it may wait. In a lasting
+	// overload the wait is always that long, so that most calls are in time
+	// only if most of the spare time is left for work that takes longer than
+	// others'.
+	waitShare = 3
+	// pushSlack is the part of a call's patience by which it may be late when
+	// more urgent calls are put before it: the wait is an estimate.
+	pushSlack = 4
+	// guessedHold is the part of a call's time that it is taken to hold a slot
+	// before any call has ended: operators set a route's objective to some
+	// times the work.
+	guessedHold = 3
+	// drainWait is how long a call may still wait when its target begins to
+	// drain. A target takes work for some two seconds after.
+	drainWait = 1500 * time.Millisecond
+)
+
+// A Ticket is what a call says of itself to get a slot.
+type Ticket struct {
+	// Rank is the call's place among those that wait. The lowest goes first.
+	Rank int
+	// Within is the time within which the call should be answered, or 0 if
+	// any time before its deadline will do.
+	Within time.Duration
+}
+
+// waiter is a call that waits for a slot.
+type waiter struct {
+	rank int
+	// soon is when the call should begin. It is admitted if that is likely, and
+	// given up if others before it make it unlikely.
+	soon time.Time
+	// last is when the call must begin. One that was admitted is not given up
+	// before: it is better late than refused late. Zero stands for never.
+	last   time.Time
+	result chan error
+}
+
 // A Limiter counts the calls at one target.
 type Limiter struct {
+	now      func() time.Time
 	lock     sync.Mutex
 	slots    int
 	queue    int
 	inFlight int
-	waiting  []chan struct{}
+	// waiting is in the order in which calls get slots.
+	waiting []*waiter
+	// hold is how long calls have held a slot lately, or 0 if none has ended,
+	// and holdOf is the same for the calls of each rank.
+	hold     time.Duration
+	holdOf   map[int]time.Duration
 	draining bool
 	idle     chan struct{}
 }
@@ -32,9 +86,11 @@
 // New returns a new Limiter with a number of slots and of waiting calls.
 func New(slots, queue int) *Limiter {
 	return &Limiter{
-		slots: slots,
-		queue: queue,
-		idle:  make(chan struct{}),
+		now:    time.Now,
+		slots:  slots,
+		queue:  queue,
+		holdOf: map[int]time.Duration{},
+		idle:   make(chan struct{}),
 	}
 }
 
@@ -49,7 +105,7 @@
 
 // Acquire takes a slot, waiting in the queue while ctx lasts. After a nil
 // error Release must be called once.
-func (l *Limiter) Acquire(ctx context.Context) error {
+func (l *Limiter) Acquire(ctx context.Context, ticket Ticket) error {
 	l.lock.Lock()
 	if l.draining {
 		l.lock.Unlock()
@@ -60,41 +116,158 @@
 		l.lock.Unlock()
 		return nil
 	}
-	if len(l.waiting) >= l.queue {
-		l.lock.Unlock()
-		return ErrFull
-	}
-	turn := make(chan struct{})
-	l.waiting = append(l.waiting, turn)
+	w, err := l.enqueue(ctx, ticket)
 	l.lock.Unlock()
-	return l.wait(ctx, turn)
+	if err != nil {
+		return err
+	}
+	return l.wait(ctx, w)
 }
 
-func (l *Limiter) wait(ctx context.Context, turn chan struct{}) error {
+// enqueue puts a call in its place, unless it could not begin in time there.
+// It refuses the calls behind it that now cannot.
+func (l *Limiter) enqueue(ctx context.Context, ticket Ticket) (*waiter, error) {
+	now := l.now()
+	if l.hold == 0 {
+		l.hold = ticket.Within / guessedHold
+	}
+	w := l.newWaiter(ctx, ticket, now)
+	place := len(l.waiting)
+	for place > 0 && l.waiting[place-1].rank > w.rank {
+		place--
+	}
+	if wait := l.waitAt(place); passed(w.soon, now.Add(wait)) {
+		return nil, &fireflymoor.BusyError{
+			Wait: wait,
+		}
+	}
+	if place >= l.queue {
+		return nil, ErrFull
+	}
+	l.waiting = slices.Insert(l.waiting, place, w)
+	l.refuseLate(now, place+1)
+	return w, nil
+}
+
+// patience returns how long a call of a rank may wait, to be answered within a
+// time.
+func (l *Limiter) patience(rank int, within time.Duration) time.Duration {
+	return max((within-l.holdOf[rank])/waitShare, within/leastPatience)
+}
+
+// earlier returns the earlier of two times, of which the first may be zero.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// passed says whether a time that may be zero is before now.
+func passed(at, now time.Time) bool {
+	return !at.IsZero() && now.After(at)
+}
+
+func (l *Limiter) newWaiter(ctx context.Context, ticket Ticket, now time.Time) *waiter {
+	w := &waiter{
+		rank:   ticket.Rank,
+		result: make(chan error, 1),
+	}
+	if at, ok := ctx.Deadline(); ok {
+		left := at.Sub(now)
+		w.last = now.Add(max(left-l.holdOf[ticket.Rank], left/leastPatience))
+	}
+	w.soon = w.last
+	if ticket.Within > 0 {
+		w.soon = earlier(w.soon, now.Add(l.patience(ticket.Rank, ticket.Within)))
+	}
+	return w
+}
+
+// waitAt returns how long a call at a place in the queue is likely to wait.
+func (l *Limiter) waitAt(place int) time.Duration {
+	return l.hold * time.Duration(place+1) / time.Duration(max(l.slots, 1))
+}
+
+// refuseLate refuses the calls from a place on that cannot begin in time, and
+// those that are more than the queue takes.
+func (l *Limiter) refuseLate(now time.Time, from int) {
+	kept := l.waiting[:from]
+	for _, w := range l.waiting[from:] {
+		wait := l.waitAt(len(kept))
+		slack := w.soon.Sub(now) / pushSlack
+		switch {
+		case passed(w.soon, now.Add(wait-slack)):
+			w.result <- &fireflymoor.BusyError{
+				Wait: wait,
+			}
+		case len(kept) >= l.queue:
+			w.result <- ErrFull
+		default:
+			kept = append(kept, w)
+		}
+	}
+	clear(l.waiting[len(kept):])
+	l.waiting = kept
+}
+
+// wait waits for a slot, and no longer than the call can use one.
+func (l *Limiter) wait(ctx context.Context, w *waiter) error {
+	var late <-chan time.Time
+	at, ok := ctx.Deadline()
+	if !w.last.IsZero() && (!ok || w.last.Before(at)) {
+		timer := time.NewTimer(w.last.Sub(l.now()))
+		defer timer.Stop()
+		late = timer.C
+	}
 	select {
-	case <-turn:
-		return nil
+	case err := <-w.result:
+		return err
+	case <-late:
 	case <-ctx.Done():
 	}
+	return l.giveUp(ctx, w)
+}
+
+// giveUp takes a call out of the queue. One that has been given a slot
+// meanwhile gives it back if its caller is gone.
+func (l *Limiter) giveUp(ctx context.Context, w *waiter) error {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	for i, waiting := range l.waiting {
-		if waiting == turn {
-			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+	if i := slices.Index(l.waiting, w); i >= 0 {
+		l.waiting = slices.Delete(l.waiting, i, i+1)
+		if ctx.Err() != nil {
 			return ErrDeadline
 		}
+		return &fireflymoor.BusyError{
+			Wait: l.waitAt(i),
+		}
 	}
-	l.release()
-	return ErrDeadline
+	err := <-w.result
+	if err == nil && ctx.Err() != nil {
+		l.release()
+		return ErrDeadline
+	}
+	return err
 }
 
-// Release gives a slot back.
-func (l *Limiter) Release() {
+// Release gives the slot of a ticket back, which was held for a time.
+func (l *Limiter) Release(ticket Ticket, held time.Duration) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	l.hold = average(l.hold, held)
+	l.holdOf[ticket.Rank] = average(l.holdOf[ticket.Rank], held)
 	l.release()
 }
 
+// average moves an average towards the newest value.
+func average(before, newest time.Duration) time.Duration {
+	if before == 0 {
+		return newest
+	}
+	return before + time.Duration(holdShare*float64(newest-before))
+}
+
 func (l *Limiter) release() {
 	l.inFlight--
 	l.wake()
@@ -103,20 +276,37 @@
 	}
 }
 
-// wake hands free slots to the calls that wait longest.
+// wake hands free slots to the calls that are first in the queue and can still
+// use one.
 func (l *Limiter) wake() {
+	now := l.now()
 	for l.inFlight < l.slots && len(l.waiting) > 0 {
-		l.inFlight++
-		close(l.waiting[0])
+		w := l.waiting[0]
+		l.waiting[0] = nil
 		l.waiting = l.waiting[1:]
+		if passed(w.last, now) {
+			w.result <- &fireflymoor.BusyError{}
+			continue
+		}
+		l.inFlight++
+		w.result <- nil
 	}
 }
 
-// Drain refuses new calls. The channel is closed once all others have ended.
+// Drain refuses new calls, and those that wait too long for a target that
+// leaves. The channel is closed once all others have ended.
 func (l *Limiter) Drain() <-chan struct{} {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	l.draining = true
+	if !l.draining {
+		l.draining = true
+		now := l.now()
+		for _, w := range l.waiting {
+			w.soon = earlier(w.soon, now.Add(drainWait))
+			w.last = earlier(w.last, now.Add(drainWait))
+		}
+		l.refuseLate(now, 0)
+	}
 	if l.inFlight == 0 && len(l.waiting) == 0 {
 		l.close()
 	}
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -15,15 +15,15 @@
 func TestSlotsAndQueue(t *testing.T) {
 	is := is.New(t)
 	l := New(2, 1)
-	is.NoErr(l.Acquire(t.Context()))
-	is.NoErr(l.Acquire(t.Context()))
+	is.NoErr(l.Acquire(t.Context(), Ticket{}))
+	is.NoErr(l.Acquire(t.Context(), Ticket{}))
 	queued := make(chan error)
-	go func() { queued <- l.Acquire(t.Context()) }()
+	go func() { queued <- l.Acquire(t.Context(), Ticket{}) }()
 	for l.Load() < 1.5 {
 		time.Sleep(time.Millisecond)
 	}
-	is.True(errors.Is(l.Acquire(t.Context()), ErrFull))
-	l.Release()
+	is.True(errors.Is(l.Acquire(t.Context(), Ticket{}), ErrFull))
+	l.Release(Ticket{}, time.Millisecond)
 	is.NoErr(<-queued)
 	is.Equal(l.InFlight(), 2)
 }
@@ -33,28 +33,28 @@
 func TestDeadlineInQueue(t *testing.T) {
 	is := is.New(t)
 	l := New(1, 5)
-	is.NoErr(l.Acquire(t.Context()))
+	is.NoErr(l.Acquire(t.Context(), Ticket{}))
 	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 	defer cancel()
-	is.True(errors.Is(l.Acquire(ctx), ErrDeadline))
-	l.Release()
+	is.True(errors.Is(l.Acquire(ctx, Ticket{}), ErrDeadline))
+	l.Release(Ticket{}, time.Millisecond)
 	is.Equal(l.InFlight(), 0)
-	is.NoErr(l.Acquire(t.Context()))
+	is.NoErr(l.Acquire(t.Context(), Ticket{}))
 }
 
 // TestDrain refuses new calls and lets those in flight end.
 func TestDrain(t *testing.T) {
 	is := is.New(t)
 	l := New(1, 5)
-	is.NoErr(l.Acquire(t.Context()))
+	is.NoErr(l.Acquire(t.Context(), Ticket{}))
 	idle := l.Drain()
-	is.True(errors.Is(l.Acquire(t.Context()), ErrDraining))
+	is.True(errors.Is(l.Acquire(t.Context(), Ticket{}), ErrDraining))
 	select {
 	case <-idle:
 		t.Fatal("idle before the call ended")
 	default:
 	}
-	l.Release()
+	l.Release(Ticket{}, time.Millisecond)
 	<-idle
 }
 
@@ -67,7 +67,7 @@
 	most, now := 0, 0
 	for range 300 {
 		group.Go(func() {
-			if l.Acquire(context.Background()) != nil {
+			if l.Acquire(context.Background(), Ticket{}) != nil {
 				return
 			}
 			lock.Lock()
@@ -77,7 +77,7 @@
 			lock.Lock()
 			now--
 			lock.Unlock()
-			l.Release()
+			l.Release(Ticket{}, time.Millisecond)
 		})
 	}
 	group.Wait()
@@ -89,7 +89,7 @@
 	l := New(20, 40)
 	b.ReportAllocs()
 	for b.Loop() {
-		_ = l.Acquire(context.Background())
-		l.Release()
+		_ = l.Acquire(context.Background(), Ticket{})
+		l.Release(Ticket{}, time.Millisecond)
 	}
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -113,9 +113,7 @@
 		if outcome == fireflymoor.NotRun {
 			state = registrar.NotRun
 		}
-		if errors.Is(err, fireflymoor.ErrDraining) {
-			w.Header().Set(labeler.Draining, "yes")
-		}
+		labelRefusal(w.Header(), err)
 		r.log.Info().Str("call", id).Str("target", target.ID).Stringer("outcome", outcome).Err(err).Msg("receiver: not served")
 		Refuse(w, http.StatusServiceUnavailable, outcome, err.Error())
 		return
@@ -141,6 +139,20 @@
 	Copy(w, response)
 }
 
+// labelRefusal tells the caller's node why a call was refused.
+func labelRefusal(header http.Header, err error) {
+	if errors.Is(err, fireflymoor.ErrDraining) {
+		header.Set(labeler.Draining, "yes")
+	}
+	if errors.Is(err, fireflymoor.ErrArrived) {
+		header.Set(labeler.Arrived, "yes")
+	}
+	busy := &fireflymoor.BusyError{}
+	if errors.As(err, &busy) {
+		labeler.SetMilliseconds(header, labeler.Wait, busy.Wait)
+	}
+}
+
 // readBody reads a short body to its end before any of the call goes to the
 // target, so that a connection that breaks before leaves it not run.
 func readBody(request *http.Request) error {
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -96,6 +96,7 @@
 		Node:      n.settings.Name,
 		Origin:    n.settings.CallerService,
 		Dialect:   n.dialect(),
+		Runs:      local.Runs,
 		Viewer:    n,
 		Balancer:  balancer.NewTwoChoices(),
 		Forwarder: forwarder.New(n.settings.Name, local, n.remote),
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -29,6 +30,10 @@
 	registry  *Registry
 	dialect   fireflymoor.Dialect
 	transport *http.Transport
+
+	lock sync.Mutex
+	// running counts the calls that targets are running, by their callers' ids.
+	running map[string]int
 }
 
 // NewServer returns a new Server that speaks dialect with the targets.
@@ -37,6 +42,34 @@
 		registry:  registry,
 		dialect:   dialect,
 		transport: sender.NewTransport(connections, dialer.Traffic(dialTimeout), idleTimeout),
+		running:   map[string]int{},
+	}
+}
+
+// Runs says whether a target of this instance is running the call of an id.
+func (s *Server) Runs(id string) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.running[id] > 0
+}
+
+// begin notes that a target is running a call, until the returned function is
+// called.
+func (s *Server) begin(header http.Header) func() {
+	head, err := s.dialect.ReadCall(header)
+	if err != nil || head.ID == "" {
+		return func() {}
+	}
+	s.count(head.ID, 1)
+	return func() { s.count(head.ID, -1) }
+}
+
+func (s *Server) count(id string, by int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.running[id] += by
+	if s.running[id] == 0 {
+		delete(s.running, id)
 	}
 }
 
@@ -46,21 +79,39 @@
 	if err != nil {
 		return nil, fireflymoor.NotRun, errors.Wrapf(err, "target %s: find", target.ID)
 	}
-	if err := t.limiter.Acquire(ctx); err != nil {
+	ticket := readTicket(in.Header)
+	if err := t.limiter.Acquire(ctx, ticket); err != nil {
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(err, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
 	}
+	began := time.Now()
+	end := s.begin(in.Header)
+	release := func() {
+		end()
+		t.limiter.Release(ticket, time.Since(began))
+	}
 	response, outcome, err := s.send(ctx, t, in)
 	if err != nil {
-		t.limiter.Release()
+		release()
 		return nil, outcome, err
 	}
 	response.Body = &releasingBody{
 		ReadCloser: response.Body,
-		limiter:    t.limiter,
+		release:    release,
 	}
 	return response, fireflymoor.Answered, nil
 }
 
+// readTicket reads what a call's node says of it.
+func readTicket(header http.Header) limiter.Ticket {
+	ticket := limiter.Ticket{
+		Within: labeler.Milliseconds(header, labeler.Within),
+	}
+	if rank, err := strconv.Atoi(header.Get(labeler.Rank)); err == nil {
+		ticket.Rank = rank
+	}
+	return ticket
+}
+
 // send sends a call to a target whose slot has been taken.
 func (s *Server) send(ctx context.Context, t *local, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
 	out := sender.Prepare(ctx, in, t.announcement.Address, in.Body, in.ContentLength)
@@ -85,9 +136,11 @@
 	case verdict.Err != nil:
 		return nil, fireflymoor.Unknown, errors.Wrapf(verdict.Err, "target %s: read the answer", t.announcement.ID)
 	case verdict.Draining:
-		return nil, fireflymoor.NotRun, errors.Wrapf(fireflymoor.ErrDraining, "target %s: refused", t.announcement.ID)
+		err = fireflymoor.ErrDraining
+	default:
+		err = fireflymoor.ErrBusy
 	}
-	return nil, fireflymoor.NotRun, errors.Wrapf(fireflymoor.ErrBusy, "target %s: refused", t.announcement.ID)
+	return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(err, "target %s: refused", t.announcement.ID), fireflymoor.ErrArrived)
 }
 
 // left returns the time that ctx has left, or 0 if it has no deadline.
@@ -102,12 +155,12 @@
 // releasingBody gives the slot back once the answer has been read or left.
 type releasingBody struct {
 	io.ReadCloser
-	limiter *limiter.Limiter
+	release func()
 	once    sync.Once
 }
 
 // Close implements io.Closer.
 func (b *releasingBody) Close() error {
-	b.once.Do(b.limiter.Release)
+	b.once.Do(b.release)
 	return b.ReadCloser.Close()
 }
