Carry a labelled change through the log packed against its parent

Cause: each change of the platform's operator is a whole configuration with 300 routes and more, some 60 kB, which went to every replica in another zone as it was.

Ruled out: packing at the leader (the forward to it crosses a zone too); a codec of differences of our own (the distributor packs against the parent already).

A replica that holds the parent sends what differs; one that lags sends all. An unpackable change is refused at every replica alike. TestLabelledChangeTravelsPacked fails without it.

--- a/internal/operator/change_test.go
+++ b/internal/operator/change_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
@@ -171,3 +174,41 @@
 	is.Equal(apiErr.Code, administrator.CodeConflict)
 	is.True(time.Since(began) < parentTimeout)
 }
+
+// TestLabelledChangeTravelsPacked changes one of many lines, through a replica
+// that holds the parent and through one that lags. What goes through the log
+// grows with the change, and every replica comes to hold the same.
+func TestLabelledChangeTravelsPacked(t *testing.T) {
+	is := is.New(t)
+	r := newTwoReplicas()
+	s := newTestService(r)
+	long := &strings.Builder{}
+	long.WriteString("---\n")
+	for i := range 300 {
+		fmt.Fprintf(long, "[service s%d]\nslots = %d\n", i, 1+i)
+	}
+	accept := func(id string, parent, label uint64, template string) {
+		t.Helper()
+		_, err := s.Accept(t.Context(), LabelledChange{
+			ID:          id,
+			Team:        "team",
+			Label:       label,
+			ParentLabel: parent,
+			Inputs: fireflymoor.Inputs{
+				Template: template,
+			},
+		})
+		is.NoErr(err)
+	}
+	accept("1", 0, 5, long.String())
+	r.catchUp()
+	second := strings.Replace(long.String(), "slots = 100\n", "slots = 9\n", 1)
+	accept("2", 5, 7, second)
+	is.True(proto.Size(r.sent) < 1000)
+	third := strings.Replace(second, "slots = 200\n", "slots = 8\n", 1)
+	accept("3", 7, 9, third) // the near replica does not hold the parent
+	r.catchUp()
+	is.Equal(r.near.Manifest().Hash(), r.leader.Manifest().Hash())
+	inputs, _ := r.near.Inputs("team")
+	is.Equal(inputs.Template, third)
+}
--- a/internal/operator/labelled.go
+++ b/internal/operator/labelled.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/compressor"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/recorder"
 	"github.com/fireflymoor/fireflymoor/pkg/administrator"
@@ -37,29 +40,60 @@
 	if err != nil {
 		return administrator.ChangeResponse{}, faulty(err)
 	}
-	hash := fireflymoor.HashOf(rendered.Text)
-	templateHash := fireflymoor.HashOf(labelled.Inputs.Template)
-	valuesHash := fireflymoor.HashOf(labelled.Inputs.Values)
+	change := labelled.change(fireflymoor.HashOf(rendered.Text))
+	if err := s.pack(ctx, change); err != nil {
+		return administrator.ChangeResponse{}, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	record, err := s.replica.Change(ctx, &messenger.Change{
-		Id:               labelled.ID,
-		Team:             labelled.Team,
-		Label:            labelled.Label,
-		ParentLabel:      labelled.ParentLabel,
-		Template:         labelled.Inputs.Template,
-		Values:           labelled.Inputs.Values,
-		TemplateHash:     templateHash[:],
-		ValuesHash:       valuesHash[:],
-		RenderedHash:     hash[:],
-		UnixMilliseconds: time.Now().UnixMilli(),
-	})
+	record, err := s.replica.Change(ctx, change)
 	if err != nil {
 		return administrator.ChangeResponse{}, changeError(err)
 	}
 	return response(record)
 }
 
+func (l LabelledChange) change(rendered fireflymoor.Hash) *messenger.Change {
+	template := fireflymoor.HashOf(l.Inputs.Template)
+	values := fireflymoor.HashOf(l.Inputs.Values)
+	return &messenger.Change{
+		Id:               l.ID,
+		Team:             l.Team,
+		Label:            l.Label,
+		ParentLabel:      l.ParentLabel,
+		Template:         l.Inputs.Template,
+		Values:           l.Inputs.Values,
+		TemplateHash:     template[:],
+		ValuesHash:       values[:],
+		RenderedHash:     rendered[:],
+		UnixMilliseconds: time.Now().UnixMilli(),
+	}
+}
+
+// pack replaces a change's template by what differs from its parent's, if this
+// replica holds the parent. A whole configuration with hundreds of routes would
+// else cross the zones to every replica for each change.
+func (s *Service) pack(ctx context.Context, change *messenger.Change) error {
+	label := uint64(0)
+	inputs := fireflymoor.Inputs{}
+	err := s.replica.Read(ctx, func(accepted *recorder.Recorder) {
+		label = accepted.Label(change.GetTeam())
+		inputs, _ = accepted.Inputs(change.GetTeam())
+	})
+	if err != nil || label != change.GetParentLabel() || label == 0 {
+		return err
+	}
+	packed, err := compressor.Pack(change.GetTemplate(), inputs.Template)
+	if err != nil {
+		return errors.Wrap(err, "operator: pack a change")
+	}
+	base := fireflymoor.HashOf(inputs.Template)
+	change.Template = ""
+	change.PackedTemplate = packed
+	change.BaseHash = base[:]
+	return nil
+}
+
 // Newest returns a team's newest configuration and its label, which a quorum
 // has confirmed after the call began.
 func (s *Service) Newest(ctx context.Context, team string) (uint64, fireflymoor.Configuration, error) {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/compressor"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 )
 
@@ -80,7 +81,12 @@
 		r.keep(record)
 		return record, false
 	}
-	r.accept(c)
+	if err := r.accept(c); err != nil {
+		record.Conflict = true
+		record.ActualParent = entry.Number
+		r.keep(record)
+		return record, false
+	}
 	record.Number = r.manifest.Number()
 	hash := r.manifest.Hash()
 	record.Hash = hash[:]
@@ -88,11 +94,17 @@
 	return record, true
 }
 
-func (r *Recorder) accept(c *messenger.Change) {
+// accept makes the next version. It fails on a change that cannot be unpacked,
+// at every replica alike: all hold the same parent.
+func (r *Recorder) accept(c *messenger.Change) error {
 	rendered, _ := fireflymoor.HashFrom(c.GetRenderedHash())
 	inputs := r.inputs[c.GetTeam()]
+	template, err := unpack(c, inputs.Template)
+	if err != nil {
+		return err
+	}
 	if !c.GetKeepTemplate() {
-		inputs.Template = c.GetTemplate()
+		inputs.Template = template
 	}
 	if !c.GetKeepValues() {
 		inputs.Values = c.GetValues()
@@ -107,6 +119,20 @@
 	if c.GetLabel() > 0 {
 		r.labels[c.GetTeam()] = c.GetLabel()
 	}
+	return nil
+}
+
+// unpack returns a change's template, which may be packed against the parent's.
+func unpack(c *messenger.Change, parent string) (string, error) {
+	if len(c.GetPackedTemplate()) == 0 {
+		return c.GetTemplate(), nil
+	}
+	base := fireflymoor.HashOf(parent)
+	if string(base[:]) != string(c.GetBaseHash()) {
+		return "", errors.New("recorder: the change is packed against another template")
+	}
+	template, err := compressor.Unpack(c.GetPackedTemplate(), parent)
+	return template, errors.Wrap(err, "recorder: unpack a change")
 }
 
 func (r *Recorder) keep(record *messenger.ChangeRecord) {
