Elect soon after all replicas have started together

Cause: after the end of all processes a replica waited 600 to 1,200 ms before it sought votes, and a node's question for the version's confirmation was asked again only after 400 ms, or after its second at the replica had passed.

Ruled out: slow starts (processes are up 0.7 s after the kill, targets known 20 to 300 ms later), the overlay (nodes hold the version 10 ms after a leader is elected).

A replica that has just started seeks votes within 300 ms; it gets none while others hear a leader. Reads that wait for a leader are asked again each 50 ms. TestAllStartTogether fails without it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -27,6 +27,9 @@
 	// askAgain is the wait before a change or a read is sent again. A change
 	// is idempotent by its id.
 	askAgain = 400 * time.Millisecond
+	// readAgain is the wait before a read is asked again, as it is dropped
+	// while there is no leader.
+	readAgain = 50 * time.Millisecond
 	// compactEvery is the number of applied entries between snapshots.
 	compactEvery = 500
 	// exitDisk is the status of a process that ended on a disk error.
@@ -312,7 +315,7 @@
 		select {
 		case manifest := <-r.done:
 			return manifest, nil
-		case <-time.After(askAgain):
+		case <-time.After(readAgain):
 		case <-ctx.Done():
 		}
 		c.options.Sequencer.Post(func() {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -18,6 +18,11 @@
 // known.
 var ErrNoLeader = errors.New("no leader is known")
 
+// firstElection is the part of the election time within which a replica that
+// has just started seeks votes. It gets none while others hear a leader, and if
+// all have started together none of them needs to wait for one.
+const firstElection = 2
+
 // Role is a replica's part in the current term.
 type Role int
 
@@ -203,7 +208,7 @@
 		r.commit = durable.Snapshot.GetIndex()
 		r.applied = r.commit
 	}
-	r.resetElection(now)
+	r.electionDue = now.Add(time.Duration(random.Int64N(int64(config.Election / firstElection))))
 	return r
 }
 
@@ -419,8 +424,12 @@
 }
 
 func (r *Replicator) resetElection(now time.Time) {
-	spread := time.Duration(r.random.Int64N(int64(r.config.Election)))
-	r.electionDue = now.Add(r.config.Election + spread)
+	r.electionDue = now.Add(r.spread(r.config.Election))
+}
+
+// spread returns a random time between d and twice d.
+func (r *Replicator) spread(d time.Duration) time.Duration {
+	return d + time.Duration(r.random.Int64N(int64(d)))
 }
 
 func (r *Replicator) becomeFollower(term uint64, leader string, now time.Time) {
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -241,3 +241,38 @@
 		c.checkAll()
 	}
 }
+
+// TestAllStartTogether kills all replicas and starts them together. They have
+// a leader before the time has passed after which one that is gone is missed,
+// and a replica that starts alone does not disturb a leader.
+func TestAllStartTogether(t *testing.T) {
+	is := is.New(t)
+	late := 0
+	for seed := range uint64(50) {
+		c := newCluster(t, seed, 3, false)
+		c.commit("first")
+		for _, name := range c.names {
+			c.kill(c.replicas[name])
+		}
+		c.network = nil // what was on its way ends with the connections
+		for _, name := range c.names {
+			c.start(c.replicas[name])
+		}
+		began := c.now
+		c.until("a leader", func() bool { return c.leader() != nil })
+		if c.now.Sub(began) > testElection+6*testStep { // two rounds of votes and one of the log
+			late++
+		}
+		c.commit("second")
+		leader := c.leader()
+		other := c.replicas["a"]
+		if leader == other {
+			other = c.replicas["b"]
+		}
+		c.kill(other)
+		c.start(other)
+		c.run(int(4 * testElection / testStep))
+		is.True(c.leader() == leader)
+	}
+	is.True(late < 10) // two may seek votes at the same moment
+}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -35,7 +35,7 @@
 	// viewDelay gathers changes of members before the view is made anew.
 	viewDelay      = 20 * time.Millisecond
 	confirmTimeout = 1500 * time.Millisecond
-	confirmWait    = 200 * time.Millisecond
+	confirmWait    = 50 * time.Millisecond
 )
 
 var errNotReporter = errors.New("this process gathers no reports")
