Replace the failure of a target by another's answer where a call may repeat

Cause: an answer of 500 was final.

Now a failed answer counts against its target, and a call that may repeat, has time and a retry left in the budget is tried elsewhere; the first failure is passed on if no other answer comes. On the platform a node may pass over half of a service's targets: of three, 30 percent are none.

Ruled out: replacing the failure of calls that must not repeat; they ran.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -29,6 +29,7 @@
 	errNoTarget   = errors.New("no target can serve the call")
 	errBodySpent  = errors.New("the body has been sent and is not kept")
 	errOverBudget = errors.New("the budget for retries is spent")
+	errFailed     = errors.New("the target failed")
 )
 
 const (
@@ -107,6 +108,8 @@
 	tried  []string
 	// arrivals is the number of tries that reached a target.
 	arrivals int
+	// failure is the answer of a target that failed, while another is tried.
+	failure *http.Response
 	// grant is the claim of a call with an idempotency key, or nil.
 	grant *claimer.Grant
 }
@@ -196,6 +199,9 @@
 	for {
 		response, outcome, err := h.try(ctx, c)
 		ran = ran || outcome == fireflymoor.Unknown
+		if outcome == fireflymoor.Answered && h.mayReplace(ctx, c, response) {
+			continue
+		}
 		if outcome == fireflymoor.Answered {
 			h.pass(ctx, w, c, response)
 			return
@@ -203,6 +209,10 @@
 		if h.mayRetry(ctx, c, outcome, err) {
 			continue
 		}
+		if c.failure != nil {
+			h.pass(ctx, w, c, c.failure)
+			return
+		}
 		if ran {
 			outcome = fireflymoor.Unknown
 		}
@@ -285,7 +295,11 @@
 		h.failed(ctx, pick.Target, outcome, err)
 		return nil, outcome, err
 	}
-	h.options.Ejector.Succeeded(pick.Target.ID)
+	if response.StatusCode >= http.StatusInternalServerError {
+		h.options.Ejector.Failed(pick.Target.ID, time.Now())
+	} else {
+		h.options.Ejector.Succeeded(pick.Target.ID)
+	}
 	h.options.Tracker.Answered(pick.Target, time.Since(now), time.Now())
 	if load, known := labeler.TakeLoad(response.Header); known {
 		h.options.Tracker.SetLoad(pick.Target, load, time.Now())
