Send over a transport of our own; settle a call asked after only once

Each call through two nodes ran six goroutines of net/http's client beside its own, was copied between them, and an answer to an earlier call that came late failed the next one. sender.Transport writes and reads in the goroutine of the call, with net/http's own writing and parsing of messages, reads past late answers, does not use a connection that its peer has closed or sent something on, and heeds how long the peer keeps it. House style says "net/http through its transports": this is one (an http.RoundTripper); why not http.Transport stands above.

After 0.7 s the target's node is asked after a call; when it said that the call was answered, the call's own connection was cancelled, while its answer was just being read. Ruled out: the configuration (the calls began before), the target's node (its answer was whole), garbled answers (over by then). Now the first of the two settles the call. TestAnswerBesideQuestion fails without it. Calls are asked after no sooner than their objective, and then less and less often.

--- a/dialect.go
+++ b/dialect.go
@@ -62,6 +62,8 @@
 	// WriteDispatch writes what a target is told. The header is that of the
 	// request to it.
 	WriteDispatch(header http.Header, dispatch Dispatch)
+	// Own says whether an answer belongs to a request, by their headers.
+	Own(request, answer http.Header) bool
 	// ReadAnswer reads what a target answered to a request, and drops from
 	// the answer what does not concern the caller.
 	ReadAnswer(request, answer http.Header, status int) Verdict
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,17 +23,20 @@
 )
 
 const (
-	connections = 256
 	dialTimeout = 300 * time.Millisecond
 	// idleTimeout is how long a connection that no call uses is kept. It may go
 	// silent unseen: a call that is caught on it is found out by silence, and
 	// both together are less than two seconds.
 	idleTimeout = 1200 * time.Millisecond
-	// silence is how long a call waits before the target's node is asked
-	// after it over a new connection.
+	// silence is how long a call waits at least before the target's node is
+	// asked after it over a new connection. A call that should be answered
+	// within a longer time waits for that.
 	silence = 700 * time.Millisecond
-	// askAgain is the wait between questions after a call.
-	askAgain = 100 * time.Millisecond
+	// askAgain is the first wait between questions after a call. Each further
+	// one is twice as long, up to lastAskAgain: a call that runs for long costs
+	// few questions.
+	askAgain     = 100 * time.Millisecond
+	lastAskAgain = 800 * time.Millisecond
 	// askWait is how long the node may wait for a running call to end before
 	// it answers a question.
 	askWait = 300 * time.Millisecond
@@ -61,29 +65,28 @@
 type Remote struct {
 	dialer     *dialer.Dialer
 	lock       sync.Mutex
-	transports map[string]*http.Transport
-	asker      *http.Transport
+	transports map[string]*sender.Transport
+	asker      *sender.Transport
 }
 
 // NewRemote returns a new Remote.
 func NewRemote(dialer *dialer.Dialer) *Remote {
-	asker := sender.NewTransport(connections, dialer.Traffic(dialTimeout), idleTimeout)
-	asker.DisableKeepAlives = true
+	asker := sender.NewTransport(dialer.Traffic(dialTimeout), 0)
 	return &Remote{
 		dialer:     dialer,
-		transports: map[string]*http.Transport{},
+		transports: map[string]*sender.Transport{},
 		asker:      asker,
 	}
 }
 
 // transport returns the connections to one node. Each node has its own, so
 // that a node's can be dropped alone.
-func (f *Remote) transport(address string) *http.Transport {
+func (f *Remote) transport(address string) *sender.Transport {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	t := f.transports[address]
 	if t == nil {
-		t = sender.NewTransport(connections, f.dialer.Traffic(dialTimeout), idleTimeout)
+		t = sender.NewTransport(f.dialer.Traffic(dialTimeout), idleTimeout, sender.WithOwn(own))
 		f.transports[address] = t
 	}
 	return t
@@ -127,11 +130,16 @@
 	sending, cancel := context.WithCancelCause(ctx)
 	out := sender.Prepare(sending, in, target.Address, in.Body, in.ContentLength)
 	resolved := make(chan resolution, 1)
-	watch := time.AfterFunc(silence, func() {
-		f.watch(ctx, target, out.Header.Get(labeler.CallID), resolved, cancel)
+	settled := &atomic.Bool{}
+	watch := time.AfterFunc(max(silence, labeler.Milliseconds(in.Header, labeler.Within)), func() {
+		f.watch(ctx, target, out.Header.Get(labeler.CallID), settled, resolved, cancel)
 	})
 	response, outcome, err := sender.Send(f.transport(target.Address), out)
 	watch.Stop()
+	if err == nil && !settled.CompareAndSwap(false, true) {
+		_ = response.Body.Close()
+		return conclude(<-resolved, errResolved)
+	}
 	if err == nil {
 		response.Body = &cancellingBody{
 			ReadCloser: response.Body,
@@ -154,11 +162,16 @@
 	return f.resolve(ctx, target, out.Header.Get(labeler.CallID), err)
 }
 
-// watch asks after a call that has been silent, until it is resolved.
-func (f *Remote) watch(ctx context.Context, target fireflymoor.Target, id string, resolved chan<- resolution, cancel context.CancelCauseFunc) {
-	for ctx.Err() == nil {
+// watch asks after a call that has been silent, until it is resolved. The first
+// to settle the call, the answer itself or what is said of it, counts.
+func (f *Remote) watch(ctx context.Context, target fireflymoor.Target, id string, settled *atomic.Bool, resolved chan<- resolution, cancel context.CancelCauseFunc) {
+	wait := askAgain
+	for ctx.Err() == nil && !settled.Load() {
 		r, err := f.ask(ctx, target, id)
 		if err == nil && r.state != registrar.Running {
+			if !settled.CompareAndSwap(false, true) {
+				return
+			}
 			f.drop(target.Address)
 			resolved <- r
 			cancel(errResolved)
@@ -166,8 +179,9 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(askAgain):
+		case <-time.After(wait):
 		}
+		wait = min(2*wait, lastAskAgain)
 	}
 }
 
@@ -245,6 +259,11 @@
 	return r
 }
 
+// own says whether an answer bears the id of a call.
+func own(request, answer http.Header) bool {
+	return answer.Get(labeler.CallID) == request.Get(labeler.CallID)
+}
+
 // check makes sure that an answer is the call's own and says what it is.
 func (f *Remote) check(response *http.Response, id string) (*http.Response, fireflymoor.Outcome, error) {
 	if response.Header.Get(labeler.CallID) != id {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +16,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/counter"
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/labeler"
+	"github.com/fireflymoor/fireflymoor/internal/registrar"
 )
 
 // TestRefusalKeepsTheConnection has a busy node refuse calls. Each goes over
@@ -86,3 +88,43 @@
 	is.Equal(opened.Load(), int64(1))
 	is.Equal(closed.Load(), int64(1))
 }
+
+// TestAnswerBesideQuestion has the answer to a call begin while its node is
+// asked after the call, and go on after the node has said that the call is
+// answered. The answer is passed on whole.
+func TestAnswerBesideQuestion(t *testing.T) {
+	is := is.New(t)
+	begun, asked := make(chan struct{}), make(chan struct{})
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == RevokePath {
+			<-begun
+			w.Header().Set(StateHeader, string(registrar.Answered))
+			close(asked)
+			return
+		}
+		time.Sleep(silence + 50*time.Millisecond)
+		w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
+		w.Header().Set(labeler.Outcome, fireflymoor.Answered.String())
+		w.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		close(begun)
+		<-asked
+		time.Sleep(50 * time.Millisecond) // for what was said to arrive
+		_, _ = io.WriteString(w, " last")
+	}))
+	defer node.Close()
+	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())))
+	request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+	request.Header.Set(labeler.CallID, "call")
+	request.Header.Set(labeler.Once, "yes")
+	response, outcome, err := f.Forward(t.Context(), fireflymoor.Target{
+		Address: node.Listener.Addr().String(),
+	}, request)
+	is.NoErr(err)
+	is.Equal(outcome, fireflymoor.Answered)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "first last")
+	_ = response.Body.Close()
+}
--- a/internal/labeler/dialect.go
+++ b/internal/labeler/dialect.go
@@ -38,6 +38,12 @@
 // are in the header already.
 func (dialect) WriteDispatch(http.Header, fireflymoor.Dispatch) {}
 
+// Own implements fireflymoor.Dialect. Targets do not name the call that they
+// answer.
+func (dialect) Own(_, _ http.Header) bool {
+	return true
+}
+
 // ReadAnswer implements fireflymoor.Dialect. Any answer is taken for the
 // call's own.
 func (dialect) ReadAnswer(_, _ http.Header, _ int) fireflymoor.Verdict {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -66,7 +66,7 @@
 			t.Run(method+" "+body, func(t *testing.T) {
 				is := is.New(t)
 				address, requests := closer(t)
-				transport := NewTransport(1, (&net.Dialer{}).DialContext, time.Minute)
+				transport := NewTransport((&net.Dialer{}).DialContext, time.Minute)
 				send := func() (fireflymoor.Outcome, error) {
 					in, err := http.NewRequestWithContext(context.Background(), method, "http://x/", http.NoBody)
 					is.NoErr(err)
@@ -96,7 +96,7 @@
 	is := is.New(t)
 	in, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://x/", http.NoBody)
 	is.NoErr(err)
-	transport := NewTransport(1, (&net.Dialer{}).DialContext, time.Minute)
+	transport := NewTransport((&net.Dialer{}).DialContext, time.Minute)
 	_, outcome, err := Send(transport, Prepare(t.Context(), in, "127.0.0.1:1", http.NoBody, 0))
 	is.True(err != nil)
 	is.Equal(outcome, fireflymoor.NotRun)
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	// connections is the number of connections that a target takes.
-	connections = 100
 	dialTimeout = 250 * time.Millisecond
-	idleTimeout = 30 * time.Second
+	// idleTimeout is how long a connection to a target is kept that does not
+	// say how long it keeps one. Targets keep idle connections for ten seconds
+	// and more.
+	idleTimeout = 8 * time.Second
 )
 
 // A Server carries calls to the targets of a Registry. It is the authority on
@@ -29,7 +30,7 @@
 type Server struct {
 	registry  *Registry
 	dialect   fireflymoor.Dialect
-	transport *http.Transport
+	transport *sender.Transport
 
 	lock sync.Mutex
 	// running counts the calls that targets are running, by their callers' ids.
@@ -41,7 +42,7 @@
 	return &Server{
 		registry:  registry,
 		dialect:   dialect,
-		transport: sender.NewTransport(connections, dialer.Traffic(dialTimeout), idleTimeout),
+		transport: sender.NewTransport(dialer.Traffic(dialTimeout), idleTimeout, sender.WithOwn(dialect.Own)),
 		running:   map[string]int{},
 	}
 }
