Have a leaving node's target serve on while its callers leave

Cause: at SIGTERM a node refused all work for its target at once, although the target may outlive it and its callers have two seconds to go elsewhere. In a rolling restart each target was lost for those two seconds beside the restart itself. The end was bounded by 30 s; the platform kills after 6.

Now the target serves on for the grace, then 100 ms pass for the others to hear that it drains, and what is in flight ends within a bound of the settings.

--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -82,6 +82,8 @@
 	KeyWindow time.Duration
 	// Grace is how long a leaving process goes on answering callers.
 	Grace time.Duration
+	// Shutdown bounds the wait for calls in flight at the end.
+	Shutdown time.Duration
 	// Heartbeat and Election time the replicated log.
 	Heartbeat time.Duration
 	// Election is the least time without a leader before a vote.
@@ -105,6 +107,7 @@
 	defaultLease     = 1500 * time.Millisecond
 	defaultKeyWindow = time.Minute
 	defaultGrace     = time.Second
+	defaultShutdown  = 30 * time.Second
 	defaultHeartbeat = 100 * time.Millisecond
 	defaultElection  = 600 * time.Millisecond
 	maxPort          = 65535
@@ -132,6 +135,7 @@
 		Lease:     defaultLease,
 		KeyWindow: defaultKeyWindow,
 		Grace:     defaultGrace,
+		Shutdown:  defaultShutdown,
 		Heartbeat: defaultHeartbeat,
 		Election:  defaultElection,
 		Level:     zerolog.InfoLevel,
@@ -190,6 +194,7 @@
 	s.DataFolder = section.String("data-folder", "")
 	s.CountViolations = section.Bool("count-violations", false)
 	s.Grace = section.Duration("grace", defaultGrace, 0, mostTime)
+	s.Shutdown = section.Duration("shutdown", defaultShutdown, leastTime, mostTime)
 	checkName(section, "name", s.Name)
 	checkName(section, "zone", s.Zone)
 	checkName(section, "team", s.Team)
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -38,8 +38,6 @@
 	// logLines is the number of log lines that may wait to be written. Calls
 	// do not wait for the log.
 	logLines = 8192
-	// shutdownTimeout bounds the wait for calls in flight at the end.
-	shutdownTimeout = 30 * time.Second
 )
 
 // member is what every process of the system has: its place in the overlay,
@@ -176,13 +174,19 @@
 	})
 }
 
-// shutdown lets the requests in flight end.
-func (m *member) shutdown(s *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+// shutdown lets the requests in flight at servers end, one server after the
+// other.
+func (m *member) shutdown(servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), m.settings.Shutdown)
 	defer cancel()
-	if err := s.Shutdown(ctx); err != nil {
-		m.log.Warn().Err(err).Msg("process: requests were cut at the end")
-		_ = s.Close()
+	for _, s := range servers {
+		if s == nil {
+			continue
+		}
+		if err := s.Shutdown(ctx); err != nil {
+			m.log.Warn().Err(err).Msg("process: requests were cut at the end")
+			_ = s.Close()
+		}
 	}
 }
 
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -32,6 +32,9 @@
 
 const (
 	leaseInterval = 100 * time.Millisecond
+	// drainNotice is how long the others may take to hear that a leaving node's
+	// target gets no new work.
+	drainNotice = 100 * time.Millisecond
 	// viewDelay gathers changes of members before the view is made anew.
 	viewDelay      = 20 * time.Millisecond
 	confirmTimeout = 1500 * time.Millisecond
@@ -108,7 +111,7 @@
 		Log:       n.log,
 		Decisions: n.settings.Decisions,
 	})
-	n.callers = server(handler)
+	n.callers = server(n.lettingGo(handler))
 	n.callers.Protocols = &http.Protocols{}
 	n.callers.Protocols.SetHTTP1(true)
 	n.callers.Protocols.SetUnencryptedHTTP2(true)
@@ -120,6 +123,17 @@
 	}
 }
 
+// lettingGo tells the callers of a leaving node with each answer to connect
+// elsewhere.
+func (n *node) lettingGo(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if n.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, request)
+	})
+}
+
 // View implements fireflymoor.Viewer.
 func (n *node) View() fireflymoor.View {
 	return *n.view.Load()
@@ -171,22 +185,17 @@
 	return nil
 }
 
-// leave gives up the node's place without cutting a call: new work is refused
-// as not run, callers are told to connect elsewhere, and what is in flight
-// ends.
+// leave gives up the node's place without cutting a call. Its callers are told
+// to connect elsewhere and have the grace to do so, and its target serves on
+// meanwhile: it may outlive this process. Then new work is refused as not run,
+// and what is in flight ends.
 func (n *node) leave() {
-	n.log.Info().Msg("process: node is leaving")
+	n.log.Info().Dur("grace", n.settings.Grace).Msg("process: node is leaving")
 	n.leaving.Store(true)
-	n.targets.DrainAll()
-	n.callers.SetKeepAlivesEnabled(false)
 	time.Sleep(n.settings.Grace)
-	n.shutdown(n.callers)
-	n.shutdown(n.calls)
-	n.shutdown(n.platform)
-	if n.adapter != nil {
-		n.shutdown(n.ready)
-		n.shutdown(n.announcements)
-	}
+	n.targets.DrainAll()
+	time.Sleep(drainNotice)
+	n.shutdown(n.callers, n.calls, n.platform, n.ready, n.announcements)
 }
 
 func (n *node) mux() *drpcmux.Mux {
