Do not send a lagging follower all entries again with each read

Cause: a leader sent a follower everything that it lacked with each heartbeat and with each read that began a round.

Ruled out: calls (four fifths stay in the zone until the burst), pieces of configuration (30 kB), facts and reports (some 40 kB a node).

Entries that are on their way are sent again only after five heartbeats without an answer; between, heartbeats go. Reads that are asked while a round of reads is under way share the next one.

--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -141,6 +141,7 @@
 	r.role = Leader
 	r.leader = r.config.Name
 	r.reads = nil
+	r.asked = nil
 	r.quorumChecked = now
 	r.progress = map[string]*progress{}
 	r.follow(now)
--- a/internal/replicator/read.go
+++ b/internal/replicator/read.go
@@ -19,17 +19,30 @@
 	if r.termAt(r.commit) != r.durable.Term {
 		return
 	}
-	r.replicate(now)
-	r.reads = append(r.reads, pendingRead{
+	r.asked = append(r.asked, pendingRead{
 		token: token,
 		from:  from,
-		index: r.commit,
-		round: r.round,
 	})
-	r.answerReads()
+	r.startRound(now)
+}
+
+// startRound begins a round for the reads that wait for one, unless another
+// round of reads is under way: many reads at once share the next one.
+func (r *Replicator) startRound(now time.Time) {
+	if len(r.reads) > 0 || len(r.asked) == 0 {
+		return
+	}
+	r.replicate(now)
+	for _, read := range r.asked {
+		read.index = r.commit
+		read.round = r.round
+		r.reads = append(r.reads, read)
+	}
+	r.asked = nil
+	r.answerReads(now)
 }
 
-func (r *Replicator) answerReads() {
+func (r *Replicator) answerReads(now time.Time) {
 	waiting := r.reads[:0]
 	for _, read := range r.reads {
 		if !r.roundConfirmed(read.round) {
@@ -39,6 +52,7 @@
 		r.answerRead(read)
 	}
 	r.reads = waiting
+	r.startRound(now)
 }
 
 func (r *Replicator) roundConfirmed(round uint64) bool {
--- a/internal/replicator/replace_test.go
+++ b/internal/replicator/replace_test.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,3 +107,40 @@
 		is.Equal(c.leader().membership().GetSize(), uint32(5))
 	}
 }
+
+// TestSlowFollowerIsNotFlooded has a follower lag behind while many reads are
+// asked. It is sent what it lacks once, and not again for each read; it catches
+// up, and all reads are answered.
+func TestSlowFollowerIsNotFlooded(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 5, 3, false)
+	c.commit("first")
+	leader := c.leader()
+	away := c.replicas["a"]
+	if leader == away {
+		away = c.replicas["b"]
+	}
+	away.frozen = true
+	const values = 20
+	for i := range values {
+		c.commit(fmt.Sprint("value", i))
+	}
+	sent := 0
+	for token := range uint64(100) {
+		effects, err := leader.Confirm(token+1, c.now)
+		is.NoErr(err)
+		for _, m := range effects.Messages {
+			if m.GetTo() == away.name {
+				sent += len(m.GetEntries())
+			}
+		}
+		c.handle(leader, effects)
+		c.run(1)
+	}
+	is.True(sent <= 100*values/10)
+	away.frozen = false
+	c.heal()
+	c.commit("last")
+	c.checkAll()
+	is.True(len(c.reads) >= 95) // but for the last ones all are answered
+}
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -7,8 +7,14 @@
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 )
 
-// entriesPerMessage bounds the entries in one message.
-const entriesPerMessage = 128
+const (
+	// entriesPerMessage bounds the entries in one message.
+	entriesPerMessage = 128
+	// resendAfter is the number of heartbeats after which entries that were not
+	// acknowledged are sent again. A follower that is slow, or whose link is
+	// narrow, has time to take what it got.
+	resendAfter = 5
+)
 
 func (r *Replicator) tickLeader(now time.Time) {
 	if now.Sub(r.quorumChecked) >= r.config.Election {
@@ -40,12 +46,20 @@
 	r.heartbeatDue = now.Add(r.config.Heartbeat)
 	r.round++
 	for name, p := range r.progress {
-		r.sendAppend(name, p)
+		r.sendAppend(name, p, now)
 	}
 }
 
-func (r *Replicator) sendAppend(name string, p *progress) {
+// sendAppend sends a peer what it lacks. What has been sent lately is not sent
+// again before there was time to answer: only a heartbeat goes.
+func (r *Replicator) sendAppend(name string, p *progress, now time.Time) {
+	if p.sentTo >= p.next && now.Sub(p.sentAt) < resendAfter*r.config.Heartbeat {
+		r.sendHeartbeat(name, p)
+		return
+	}
+	p.sentAt = now
 	if p.next <= r.snapshotIndex() {
+		p.sentTo = r.snapshotIndex()
 		r.send(&messenger.ReplicaMessage{
 			Kind:     messenger.ReplicaMessageKind_INSTALL,
 			To:       name,
@@ -57,6 +71,7 @@
 	}
 	from := p.next - r.snapshotIndex() - 1
 	until := min(from+entriesPerMessage, uint64(len(r.durable.Entries)))
+	p.sentTo = r.snapshotIndex() + until
 	r.send(&messenger.ReplicaMessage{
 		Kind:    messenger.ReplicaMessageKind_APPEND,
 		To:      name,
@@ -68,6 +83,22 @@
 	})
 }
 
+// sendHeartbeat sends a message without entries, after the last one that the
+// peer is known to hold.
+func (r *Replicator) sendHeartbeat(name string, p *progress) {
+	if p.match < r.snapshotIndex() {
+		return
+	}
+	r.send(&messenger.ReplicaMessage{
+		Kind:    messenger.ReplicaMessageKind_APPEND,
+		To:      name,
+		Index:   p.match,
+		LogTerm: r.termAt(p.match),
+		Commit:  r.commit,
+		Round:   r.round,
+	})
+}
+
 // onAppend takes entries or a snapshot from the leader of the term.
 func (r *Replicator) onAppend(m *messenger.ReplicaMessage, now time.Time) {
 	reply := &messenger.ReplicaMessage{
@@ -163,15 +194,16 @@
 	p.round = max(p.round, m.GetRound())
 	if m.GetRefused() {
 		p.next = max(p.match+1, min(p.next, m.GetIndex()+1))
-		r.sendAppend(m.GetFrom(), p)
+		p.sentTo = 0
+		r.sendAppend(m.GetFrom(), p, now)
 		return
 	}
 	p.match = max(p.match, min(m.GetIndex(), r.lastIndex()))
 	p.next = max(p.next, p.match+1)
 	r.advanceCommit()
-	r.answerReads()
-	if p.next <= r.lastIndex() && m.GetIndex()+1 == p.next {
-		r.sendAppend(m.GetFrom(), p)
+	r.answerReads(now)
+	if p.next <= r.lastIndex() && m.GetIndex()+1 == p.next && p.sentTo < p.next {
+		r.sendAppend(m.GetFrom(), p, now)
 	}
 }
 
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -151,6 +151,9 @@
 	admitAt uint64
 	round   uint64
 	heard   time.Time
+	// sentTo is the last index that was sent, at sentAt.
+	sentTo uint64
+	sentAt time.Time
 }
 
 type pendingRead struct {
@@ -176,6 +179,8 @@
 	progress map[string]*progress
 	round    uint64
 	reads    []pendingRead
+	// asked are reads that wait for the next round.
+	asked []pendingRead
 
 	heard         time.Time
 	electionDue   time.Time
@@ -442,4 +447,5 @@
 	r.role = Follower
 	r.leader = leader
 	r.reads = nil
+	r.asked = nil
 }
