--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -276,7 +277,18 @@
 		strings.Join(words, " "), c.spec.Level, name, role, zone)
 }
 
-func (c *Cluster) start(name, ip, zone, settings, role string) (*Process, error) {
+// IP returns the address of a host in the zone of that index.
+func (c *Cluster) IP(zone, host int) string {
+	return c.ip(zone, host)
+}
+
+// StartProcess starts a process whose settings and arguments, the path of its
+// settings left out, are given.
+func (c *Cluster) StartProcess(name, ip, zone, settings string, arguments ...string) (*Process, error) {
+	return c.start(name, ip, zone, settings, arguments...)
+}
+
+func (c *Cluster) start(name, ip, zone, settings string, arguments ...string) (*Process, error) {
 	path := filepath.Join(c.spec.Folder, name+".ini")
 	if err := os.WriteFile(path, []byte(settings), fileMode); err != nil {
 		return nil, errors.Wrap(err, "launcher: write settings")
@@ -286,7 +298,7 @@
 		IP:        ip,
 		Zone:      zone,
 		program:   c.spec.Program,
-		arguments: []string{role, path},
+		arguments: append(slices.Clone(arguments), path),
 		log:       filepath.Join(c.spec.Folder, name+".log"),
 	}
 	return p, c.run(p)
