Pass over targets from which nothing comes back; call callers back in time

Refused callers were told to come back after a sixth to a third of their time; with the time that the call had taken already most were late then. They come back within a tenth to a quarter of the objective now.

Ruled out: asking after calls sooner (the question hangs in the cut too). TestStalled fails without it.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -39,11 +39,15 @@
 	// nestedRank is the rank of the calls that running calls make: their
 	// parents hold slots while these wait.
 	nestedRank = -1
-	// Callers that are refused should come back within the last and the first
-	// of these parts of the time that they have left, so that they come back
-	// spread out and while there is time.
-	firstReturn = 6
-	lastReturn  = 3
+	// minPatience is added to a route's objective to tell a caller that gave up
+	// early from one whose call got no answer.
+	minPatience = 50 * time.Millisecond
+	// Callers that are refused should come back between these parts of their
+	// route's objective: spread out, and soon enough to be answered within it.
+	firstReturn = 10
+	lastReturn  = 4
+	// returnLeft is the part of the time left within which callers come back.
+	returnLeft = 3
 )
 
 // Options are what a Handler needs.
@@ -217,14 +221,14 @@
 			outcome = fireflymoor.Unknown
 		}
 		c.conclude(ctx, outcome)
-		h.refuseLater(w, c.id, failureStatus(ctx, c, outcome), outcome, err.Error(), comeBack(ctx, outcome))
+		h.refuseLater(w, c.id, failureStatus(ctx, c, outcome), outcome, err.Error(), comeBack(ctx, c.route, outcome))
 		return
 	}
 }
 
 // comeBack returns when the caller of a call that was not run should come back,
 // or 0.
-func comeBack(ctx context.Context, outcome fireflymoor.Outcome) time.Duration {
+func comeBack(ctx context.Context, route fireflymoor.Route, outcome fireflymoor.Outcome) time.Duration {
 	at, ok := ctx.Deadline()
 	if outcome != fireflymoor.NotRun || !ok {
 		return 0
@@ -233,8 +237,12 @@
 	if left <= 0 {
 		return 0
 	}
-	earliest := left / firstReturn
-	return earliest + time.Duration(rand.Int64N(int64(left/lastReturn-earliest)+1))
+	latest := left / returnLeft
+	if route.Objective > 0 {
+		latest = min(latest, route.Objective/lastReturn)
+	}
+	earliest := latest * lastReturn / firstReturn
+	return earliest + time.Duration(rand.Int64N(int64(latest-earliest)+1))
 }
 
 func failureStatus(ctx context.Context, c *call, outcome fireflymoor.Outcome) int {
@@ -292,7 +300,7 @@
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
 	if err != nil {
 		end()
-		h.failed(ctx, pick.Target, outcome, err)
+		h.failed(ctx, c, pick.Target, outcome, err)
 		return nil, outcome, err
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -326,9 +334,10 @@
 }
 
 // failed counts a failure against a target, unless the caller itself gave up
-// or the target's node was merely busy.
-func (h *Handler) failed(ctx context.Context, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) {
+// early or the target's node was merely busy. A caller that gave up after the
+// objective had good reason to.
+func (h *Handler) failed(ctx context.Context, c *call, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) && time.Since(c.began) < c.route.Objective+minPatience {
 		return
 	}
 	h.options.Metrics.failed.WithLabelValues(outcome.String()).Inc()
@@ -357,7 +366,7 @@
 	for i := range kept {
 		candidates = append(candidates, h.options.Tracker.Candidate(kept[i], c.service.SlowStart, now))
 	}
-	return h.options.Balancer.Pick(candidates, now)
+	return h.options.Balancer.Pick(moving(candidates), now)
 }
 
 // pass passes a target's answer on.
--- a/internal/caller/candidates.go
+++ b/internal/caller/candidates.go
@@ -18,3 +18,18 @@
 	}
 	return targets
 }
+
+// moving returns the candidates at which calls come back, or all if there are
+// none.
+func moving(candidates []fireflymoor.Candidate) []fireflymoor.Candidate {
+	kept := make([]fireflymoor.Candidate, 0, len(candidates))
+	for i := range candidates {
+		if !candidates[i].Stalled {
+			kept = append(kept, candidates[i])
+		}
+	}
+	if len(kept) == 0 {
+		return candidates
+	}
+	return kept
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -18,6 +18,11 @@
 	full = 1.0
 	// latencyShare is the share of the newest call in a target's latency.
 	latencyShare = 0.2
+	// A target is stalled if at least stallCalls calls are there and none has
+	// come back for stallFactor times their latency, and for stallLeast.
+	stallCalls  = 2
+	stallFactor = 4
+	stallLeast  = 150 * time.Millisecond
 	// latencyHalfLife is the time without calls after which a target is
 	// taken to be twice as fast, so that one that was slow is tried again.
 	latencyHalfLife = 2 * time.Second
@@ -41,6 +46,9 @@
 	loadAt   atomic.Int64
 	latency  atomic.Int64
 	tookAt   atomic.Int64
+	// moved is when a call last came back, or when the first of those that are
+	// there went.
+	moved atomic.Int64
 }
 
 // New returns a new Tracker for a proxy in a zone.
@@ -67,7 +75,9 @@
 // Begin counts a call to a target until the returned function is called.
 func (t *Tracker) Begin(target fireflymoor.Target, now time.Time) func() {
 	e := t.entry(target, now)
-	e.inFlight.Add(1)
+	if e.inFlight.Add(1) == 1 {
+		e.moved.Store(now.UnixNano())
+	}
 	return func() {
 		e.inFlight.Add(-1)
 	}
@@ -79,6 +89,7 @@
 }
 
 func (e *entry) setLoad(load float64, now time.Time) {
+	e.moved.Store(now.UnixNano())
 	e.load.Store(math.Float64bits(load))
 	e.loadAt.Store(now.UnixNano())
 }
@@ -91,6 +102,7 @@
 // Answered notes how long a call to a target took.
 func (t *Tracker) Answered(target fireflymoor.Target, took time.Duration, now time.Time) {
 	e := t.entry(target, now)
+	e.moved.Store(now.UnixNano())
 	before := e.latency.Load()
 	next := int64(took)
 	if before > 0 {
@@ -106,6 +118,14 @@
 	return time.Duration(float64(e.latency.Load()) * math.Exp2(-age/float64(latencyHalfLife)))
 }
 
+// stalled says whether calls are at a target and none comes back.
+func (e *entry) stalled(latency time.Duration, now time.Time) bool {
+	if e.inFlight.Load() < stallCalls || latency == 0 {
+		return false
+	}
+	return now.UnixNano()-e.moved.Load() > int64(max(stallFactor*latency, stallLeast))
+}
+
 // Candidate returns a target with its load. Its weight grows over slowStart
 // from when this proxy first saw it.
 func (t *Tracker) Candidate(target fireflymoor.Target, slowStart time.Duration, now time.Time) fireflymoor.Candidate {
@@ -118,11 +138,13 @@
 	if age := now.Sub(e.first); age < slowStart {
 		weight = float64(age) / float64(slowStart)
 	}
+	latency := e.latencyNow(now)
 	return fireflymoor.Candidate{
 		Target:   target,
 		InFlight: int(e.inFlight.Load()),
 		Load:     load,
-		Latency:  e.latencyNow(now),
+		Latency:  latency,
+		Stalled:  e.stalled(latency, now),
 		Weight:   weight,
 		Local:    target.Zone == t.zone,
 	}
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -49,3 +49,26 @@
 	is.Equal(tracker.Candidate(target, 2*time.Second, now.Add(time.Second)).Weight, 0.5)
 	is.Equal(tracker.Candidate(target, 2*time.Second, now.Add(2*time.Second)).Weight, 1.0)
 }
+
+// TestStalled sends calls to a target that has gone silent, as behind a cut. It
+// is stalled before the calls' deadlines pass, which is 500 ms, and no more
+// once a call has come back. One slow call is no sign.
+func TestStalled(t *testing.T) {
+	is := is.New(t)
+	tr := New("zone")
+	target := fireflymoor.Target{ID: "a"}
+	now := time.Unix(1, 0)
+	stalledAt := func(at time.Time) bool { return tr.Candidate(target, 0, at).Stalled }
+	end := tr.Begin(target, now)
+	tr.Answered(target, 40*time.Millisecond, now.Add(40*time.Millisecond))
+	end()
+
+	now = now.Add(time.Second)
+	tr.Begin(target, now)
+	is.True(!stalledAt(now.Add(400 * time.Millisecond))) // it may be one slow call
+	tr.Begin(target, now.Add(10*time.Millisecond))
+	is.True(!stalledAt(now.Add(100 * time.Millisecond)))
+	is.True(stalledAt(now.Add(200 * time.Millisecond)))
+	tr.Refused(target, now.Add(210*time.Millisecond))
+	is.True(!stalledAt(now.Add(220 * time.Millisecond))) // it is there
+}
--- a/view.go
+++ b/view.go
@@ -98,6 +98,9 @@
 	// Latency is how long this proxy's own calls have taken there lately, or
 	// 0 if there were none.
 	Latency time.Duration
+	// Stalled says that calls of this proxy are at the target and none has
+	// come back for far longer than they take there.
+	Stalled bool
 	// Weight is the share of a full target's work that it should get, above
 	// 0 and up to 1.
 	Weight float64
