Take a member for gone whose address another has; bound the traffic's log lines

A machine was lost for good and another started at its address. Now the later boot has the address. A node compared questions after a call with the boot number that it began with, and not with the one that it had raised after its clock was set back; each question then ended unknown.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -29,6 +29,9 @@
 	facts map[string]*held
 	// digest sums up the facts of live members, and is kept up to date.
 	digest []uint64
+	// owners holds the name of the member that was last heard of at each
+	// overlay address.
+	owners map[string]string
 	// rings and neighbours are worked out once after each change.
 	rings      map[string][]*messenger.Fact
 	neighbours []*messenger.Fact
@@ -45,6 +48,9 @@
 		self:   own.GetName(),
 		facts:  map[string]*held{},
 		digest: make([]uint64, Buckets),
+		owners: map[string]string{
+			own.GetOverlayAddress(): own.GetName(),
+		},
 	}
 	a.put(own, now)
 	return a
@@ -137,9 +143,38 @@
 		return nil
 	}
 	a.put(fact, now)
+	a.takeOver(fact, now)
 	return fact
 }
 
+// takeOver notes that a member is gone whose address another member has now.
+// What answers there is that one, so that nobody would find the first silent.
+// Each process works it out for itself from the facts.
+func (a *Announcer) takeOver(fact *messenger.Fact, now time.Time) {
+	address := fact.GetOverlayAddress()
+	if fact.GetState() != messenger.MemberState_MEMBER_ALIVE || address == "" {
+		return
+	}
+	other := a.Fact(a.owners[address])
+	a.owners[address] = fact.GetName()
+	here := other != nil && other.GetOverlayAddress() == address && other.GetState() != messenger.MemberState_MEMBER_LEFT
+	if !here || other.GetName() == fact.GetName() {
+		return
+	}
+	gone := other
+	if other.GetBoot() > fact.GetBoot() {
+		gone = fact
+		a.owners[address] = other.GetName()
+	}
+	if gone.GetName() == a.self {
+		return
+	}
+	left := proto.CloneOf(gone)
+	left.State = messenger.MemberState_MEMBER_LEFT
+	left.Targets = nil
+	a.put(left, now)
+}
+
 // refute answers a fact that claims more of this process than it said itself.
 func (a *Announcer) refute(fact *messenger.Fact, now time.Time) *messenger.Fact {
 	own := a.Self()
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -170,3 +170,38 @@
 		a.Neighbours()
 	}
 }
+
+// TestAddressTakenOver has a member vanish with its instance, and another one
+// of another name start at its address. Nothing is sent to the first any more,
+// although its address answers.
+func TestAddressTakenOver(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1, 0)
+	member := func(name, address string, boot uint64) *messenger.Fact {
+		return &messenger.Fact{
+			Name:           name,
+			Zone:           "zone",
+			Boot:           boot,
+			OverlayAddress: address,
+			Targets: []*messenger.Target{{
+				Id: name + "/target",
+			}},
+		}
+	}
+	for _, order := range [][]string{{"old", "new"}, {"new", "old"}} {
+		a := New(member("self", "127.0.0.1:1", 1), now)
+		facts := map[string]*messenger.Fact{
+			"old": member("old", "127.0.0.2:1", 5),
+			"new": member("new", "127.0.0.2:1", 9),
+		}
+		for _, name := range order {
+			a.Merge(facts[name], now)
+		}
+		var ids []string
+		for _, target := range a.Targets() {
+			ids = append(ids, target.ID)
+		}
+		is.Equal(ids, []string{"new/target", "self/target"})
+		is.Equal(a.Fact("old").GetState(), messenger.MemberState_MEMBER_LEFT)
+	}
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -77,8 +77,8 @@
 	Claims Claims
 	// Metrics counts calls.
 	Metrics *Metrics
-	// Log has the part's prefix.
-	Log zerolog.Logger
+	// Log has the part's prefix. RouteLog is for the lines of each pick.
+	Log, RouteLog zerolog.Logger
 	// Decisions says whether each routing decision is logged.
 	Decisions bool
 }
@@ -287,7 +287,7 @@
 		return nil, fireflymoor.NotRun, errors.Wrapf(errNoTarget, "caller: service %s", c.service.Name)
 	}
 	if h.options.Decisions {
-		h.options.Log.Info().Str("call", c.id).Str("route", c.route.Name).
+		h.options.RouteLog.Info().Str("call", c.id).Str("route", c.route.Name).
 			Str("target", pick.Target.ID).Str("zone", pick.Target.Zone).
 			Int("try", len(c.tried)).Str("reason", pick.Reason).Msg("caller: route")
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -172,6 +172,13 @@
 	time.Sleep(leaveDelay)
 }
 
+// IsBoot says whether a boot number is this process's: the one it began with, or
+// the one that it has raised since, to refute what was said of an earlier start
+// under a later clock. It may be called from any goroutine.
+func (c *Coordinator) IsBoot(boot uint64) bool {
+	return boot == c.options.Self.GetBoot() || boot == c.published.Load().self.GetBoot()
+}
+
 func (c *Coordinator) publish() {
 	manifest := c.distributor.Manifest()
 	c.published.Store(&published{
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -92,6 +92,9 @@
 	Level zerolog.Level
 	// Decisions says whether each routing decision is logged.
 	Decisions bool
+	// LinesPerSecond bounds the log lines a second of each part that carries
+	// traffic, or is 0.
+	LinesPerSecond int
 }
 
 // A Replica is one control replica.
@@ -111,6 +114,7 @@
 	defaultHeartbeat = 100 * time.Millisecond
 	defaultElection  = 600 * time.Millisecond
 	maxPort          = 65535
+	mostLines        = 1_000_000
 	leastTime        = 10 * time.Millisecond
 	mostTime         = time.Minute
 	// leastKeyWindow is longer than a claim may take, and mostKeyWindow no
@@ -263,6 +267,7 @@
 
 func (s *Settings) readLog(section *parser.Section) {
 	s.Decisions = section.Bool("decisions", true)
+	s.LinesPerSecond = section.Int("lines-per-second", 0, 0, mostLines)
 	text := section.String("level", "info")
 	level, err := zerolog.ParseLevel(text)
 	if err != nil {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -29,16 +29,17 @@
 
 // A Receiver is the HTTP handler for calls from other nodes.
 type Receiver struct {
-	boot      uint64
+	isBoot    func(boot uint64) bool
 	forwarder fireflymoor.Forwarder
 	registrar *registrar.Registrar
 	log       zerolog.Logger
 }
 
-// New returns a new Receiver.
-func New(boot uint64, local fireflymoor.Forwarder, registrar *registrar.Registrar, log zerolog.Logger) *Receiver {
+// New returns a new Receiver. IsBoot says whether a boot number is this
+// process's.
+func New(isBoot func(boot uint64) bool, local fireflymoor.Forwarder, registrar *registrar.Registrar, log zerolog.Logger) *Receiver {
 	return &Receiver{
-		boot:      boot,
+		isBoot:    isBoot,
 		forwarder: local,
 		registrar: registrar,
 		log:       log,
@@ -189,7 +190,8 @@
 		http.Error(w, "no call id or no deadline", http.StatusBadRequest)
 		return
 	}
-	if query.Get(forwarder.QueryBoot) != strconv.FormatUint(r.boot, 10) {
+	boot, err := strconv.ParseUint(query.Get(forwarder.QueryBoot), 10, 64)
+	if err != nil || !r.isBoot(boot) {
 		w.Header().Set(forwarder.StateHeader, string(registrar.Unknown))
 		return
 	}
--- /dev/null
+++ b/internal/receiver/receiver_test.go
@@ -0,0 +1,34 @@
+package receiver
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/fireflymoor/fireflymoor/internal/forwarder"
+	"github.com/fireflymoor/fireflymoor/internal/labeler"
+	"github.com/fireflymoor/fireflymoor/internal/registrar"
+)
+
+// TestQuestionUnderRaisedBoot asks a node after a call under the boot number
+// that it began with, under the one that it raised after its clock had been set
+// back, and under another's. Only the last is not answered.
+func TestQuestionUnderRaisedBoot(t *testing.T) {
+	is := is.New(t)
+	r := New(func(boot uint64) bool { return boot == 5 || boot == 9 }, nil, registrar.New(), zerolog.Nop())
+	for boot, state := range map[string]registrar.State{
+		"5": registrar.Refused,
+		"9": registrar.Refused,
+		"7": registrar.Unknown,
+		"x": registrar.Unknown,
+	} {
+		w := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, forwarder.RevokePath+"?id=call-"+boot+"&boot="+boot, http.NoBody)
+		request.Header.Set(labeler.Deadline, "100")
+		r.ServeHTTP(w, request)
+		is.Equal(registrar.State(w.Header().Get(forwarder.StateHeader)), state)
+	}
+}
--- a/internal/runner/call_test.go
+++ b/internal/runner/call_test.go
@@ -64,7 +64,7 @@
 		Slots:   1000,
 	}, time.Now())
 	local := target.NewServer(registry, labeler.NewDialect(), dial)
-	far := serveBench(b, receiver.New(1, local, registrar.New(), log))
+	far := serveBench(b, receiver.New(func(boot uint64) bool { return boot == 1 }, local, registrar.New(), log))
 	full := serveBench(b, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
 		receiver.Refuse(w, http.StatusServiceUnavailable, fireflymoor.NotRun, limiter.ErrFull.Error())
@@ -83,6 +83,7 @@
 			Budget:    retrier.NewBudget(),
 			Metrics:   caller.NewMetrics(prometheus.NewRegistry()),
 			Log:       log,
+			RouteLog:  log,
 			Decisions: true,
 		})
 	}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
@@ -108,14 +109,15 @@
 		Budget:    retrier.NewBudget(),
 		Claims:    n.claims.claimer,
 		Metrics:   caller.NewMetrics(n.registry),
-		Log:       n.log,
+		Log:       n.bounded(),
+		RouteLog:  n.bounded(),
 		Decisions: n.settings.Decisions,
 	})
 	n.callers = server(n.lettingGo(handler))
 	n.callers.Protocols = &http.Protocols{}
 	n.callers.Protocols.SetHTTP1(true)
 	n.callers.Protocols.SetUnencryptedHTTP2(true)
-	n.calls = server(receiver.New(n.boot, local, registrar.New(), n.log))
+	n.calls = server(receiver.New(n.coordinator.IsBoot, local, registrar.New(), n.bounded()))
 	n.platform = server(platform.NewHandler(n.registry, n.unready, n.targets))
 	if n.adapter != nil {
 		n.ready = server(n.adapter.Ready(n.unready))
@@ -134,6 +136,18 @@
 	})
 }
 
+// bounded returns a log whose lines a second are bounded, for a part that
+// carries traffic.
+func (n *node) bounded() zerolog.Logger {
+	if n.settings.LinesPerSecond == 0 {
+		return n.log
+	}
+	return n.log.Sample(&zerolog.BurstSampler{
+		Burst:  uint32(n.settings.LinesPerSecond),
+		Period: time.Second,
+	})
+}
+
 // View implements fireflymoor.Viewer.
 func (n *node) View() fireflymoor.View {
 	return *n.view.Load()
