Leave calls that are not nested a third of a full target's slots

Cause: calls that running calls make went before all others.

Ruled out: ranking nested calls by their parent's priority alone (work that has been done is thrown away for every call turned down).

After two nested calls in a row the next slot goes to the first of the others. TestNestedCallsLeaveAShare fails without it.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -40,6 +40,10 @@
 	// before any call has ended: operators set a route's objective to some
 	// times the work.
 	guessedHold = 3
+	// nestedStreak is the number of slots in a row that go to nested calls, of
+	// ranks below 0, while others wait. Their parents hold slots elsewhere, but
+	// these are not always the most urgent calls.
+	nestedStreak = 2
 	// drainWait is how long a call may still wait when its target begins to
 	// drain. A target takes work for some two seconds after.
 	drainWait = 1500 * time.Millisecond
@@ -48,6 +52,7 @@
 // A Ticket is what a call says of itself to get a slot.
 type Ticket struct {
 	// Rank is the call's place among those that wait. The lowest goes first.
+	// Those of ranks below 0 are calls that running calls make.
 	Rank int
 	// Within is the time within which the call should be answered, or 0 if
 	// any time before its deadline will do.
@@ -77,8 +82,10 @@
 	waiting []*waiter
 	// hold is how long calls have held a slot lately, or 0 if none has ended,
 	// and holdOf is the same for the calls of each rank.
-	hold     time.Duration
-	holdOf   map[int]time.Duration
+	hold   time.Duration
+	holdOf map[int]time.Duration
+	// streak is the number of slots that went to nested calls in a row.
+	streak   int
 	draining bool
 	idle     chan struct{}
 }
@@ -281,9 +288,7 @@
 func (l *Limiter) wake() {
 	now := l.now()
 	for l.inFlight < l.slots && len(l.waiting) > 0 {
-		w := l.waiting[0]
-		l.waiting[0] = nil
-		l.waiting = l.waiting[1:]
+		w := l.next()
 		if passed(w.last, now) {
 			w.result <- &fireflymoor.BusyError{}
 			continue
@@ -293,6 +298,21 @@
 	}
 }
 
+// next takes the call out of the queue that gets the next slot.
+func (l *Limiter) next() *waiter {
+	at := 0
+	if l.streak >= nestedStreak {
+		at = max(0, slices.IndexFunc(l.waiting, func(w *waiter) bool { return w.rank >= 0 }))
+	}
+	w := l.waiting[at]
+	l.waiting = slices.Delete(l.waiting, at, at+1)
+	l.streak++
+	if w.rank >= 0 {
+		l.streak = 0
+	}
+	return w
+}
+
 // Drain refuses new calls, and those that wait too long for a target that
 // leaves. The channel is closed once all others have ended.
 func (l *Limiter) Drain() <-chan struct{} {
--- a/internal/limiter/overload_test.go
+++ b/internal/limiter/overload_test.go
@@ -158,3 +158,17 @@
 		is.NoErr(<-results)
 	})
 }
+
+// TestNestedCallsLeaveAShare has nested calls alone be more than a target can
+// serve. The others still get a third of its slots.
+func TestNestedCallsLeaveAShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		got := offer(t, map[int]int{-1: 200, 1: 100}, overloadAim)
+		possible := int(overloadFor / overloadWork * overloadSlots)
+		others := got[1].inAim + got[1].late
+		is.True(others > possible/4)
+		is.True(others < possible/2)
+		is.True(got[-1].inAim+got[-1].late > possible/2)
+	})
+}
