Put only the newest version of a storm in force

Cause: each version was rendered and put in force as it came.

Ruled out: unpacking updates (0.1 ms each).

--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -48,15 +48,17 @@
 type node struct {
 	*member
 
-	applier *applier.Applier
-	reports *reports
-	targets *target.Registry
-	tracker *tracker.Tracker
-	remote  *forwarder.Remote
-	claims  *claims
-	view    atomic.Pointer[fireflymoor.View]
-	viewDue bool
-	leaving atomic.Bool
+	applier  *applier.Applier
+	reports  *reports
+	targets  *target.Registry
+	tracker  *tracker.Tracker
+	remote   *forwarder.Remote
+	claims   *claims
+	view     atomic.Pointer[fireflymoor.View]
+	viewDue  bool
+	spacer   applier.Spacer
+	applyDue bool
+	leaving  atomic.Bool
 
 	callers  *http.Server
 	calls    *http.Server
@@ -263,8 +265,30 @@
 	}
 }
 
-// Stored implements coordinator.Watcher.
+// Stored implements coordinator.Watcher. Of versions that come in a storm only
+// the newest is put in force.
 func (n *node) Stored() {
+	if n.applyDue {
+		return
+	}
+	wait := n.spacer.Wait(time.Now())
+	if wait == 0 {
+		n.apply()
+		return
+	}
+	n.applyDue = true
+	time.AfterFunc(wait, func() {
+		n.sequencer.Post(func() {
+			n.applyDue = false
+			n.apply()
+		})
+	})
+}
+
+// apply puts the newest version that is held in force.
+func (n *node) apply() {
+	began := time.Now()
+	defer func() { n.spacer.Applied(began, time.Now()) }()
 	distributor := n.coordinator.Distributor()
 	inputs, _ := distributor.Inputs(n.settings.Team)
 	if !n.applier.Apply(distributor.Manifest(), inputs) {
