Read only the sections of a configuration that have changed

Cause: of 11 ms for rendering 350 routes nearly all was spent on reading INI sections that were the same as in the version before.

The parser remembers the sections of the text that it read last. A text with any fault, quotes or backslashes is read as a whole, as before.

Ruled out: a format of our own between nodes (the rendered form is what is hashed and read by operators).

--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -42,7 +42,7 @@
 
 // New returns a new fireflymoor.Parser.
 func New() fireflymoor.Parser {
-	return parser{}
+	return &memo{}
 }
 
 // Parse implements fireflymoor.Parser. It finds every fault of the text.
@@ -52,6 +52,7 @@
 		return fireflymoor.Configuration{}, d.Err()
 	}
 	content := readSections(d)
+	content.limitBodies()
 	content.checkReferences(d)
 	if err := d.Err(); err != nil {
 		return fireflymoor.Configuration{}, err
@@ -63,15 +64,32 @@
 	services []fireflymoor.Service
 	routes   []fireflymoor.Route
 	limits   fireflymoor.Limits
+	// limited says that the limits were given.
+	limited bool
 }
 
-func readSections(d *Document) content {
-	c := content{
+// newContent returns the content of an empty text.
+func newContent() content {
+	return content{
 		limits: fireflymoor.Limits{
 			RetryBudget: DefaultBudget,
 			EjectShare:  DefaultEject,
 		},
 	}
+}
+
+// with returns the content with that of one more section.
+func (c content) with(section content) content {
+	c.services = append(c.services, section.services...)
+	c.routes = append(c.routes, section.routes...)
+	if section.limited {
+		c.limits = section.limits
+	}
+	return c
+}
+
+func readSections(d *Document) content {
+	c := newContent()
 	for _, s := range d.Sections() {
 		kind, name, _ := strings.Cut(s.Name(), " ")
 		switch {
@@ -81,12 +99,12 @@
 			c.routes = append(c.routes, readRoute(s, name))
 		case s.Name() == "limits":
 			c.limits = readLimits(s)
+			c.limited = true
 		default:
 			s.Fault("", "unknown section; known are [service NAME], [route NAME] and [limits]")
 		}
 		s.Close()
 	}
-	c.limitBodies()
 	return c
 }
 
