--- a/dialect.go
+++ b/dialect.go
@@ -32,13 +32,6 @@
 	Err error
 	// NotRun says that the target refused the call and will not run it.
 	NotRun bool
-	// Draining says that the target gets no new work.
-	Draining bool
-	// Load is the share of the target's slots in use, more than 1 while calls
-	// wait. It counts only if LoadKnown is set.
-	Load float64
-	// LoadKnown says that the target told its load.
-	LoadKnown bool
 }
 
 // A Refusal is the answer to a call that gets none from a target.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -20,7 +20,6 @@
 	"github.com/fireflymoor/fireflymoor/internal/claimer"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
 	"github.com/fireflymoor/fireflymoor/internal/labeler"
-	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
 )
@@ -39,15 +38,6 @@
 	// nestedRank is the rank of the calls that running calls make: their
 	// parents hold slots while these wait.
 	nestedRank = -1
-	// minPatience is added to a route's objective to tell a caller that gave up
-	// early from one whose call got no answer.
-	minPatience = 50 * time.Millisecond
-	// Callers that are refused should come back between these parts of their
-	// route's objective: spread out, and soon enough to be answered within it.
-	firstReturn = 10
-	lastReturn  = 4
-	// returnLeft is the part of the time left within which callers come back.
-	returnLeft = 3
 )
 
 // Options are what a Handler needs.
@@ -226,59 +216,6 @@
 	}
 }
 
-// comeBack returns when the caller of a call that was not run should come back,
-// or 0.
-func comeBack(ctx context.Context, route fireflymoor.Route, outcome fireflymoor.Outcome) time.Duration {
-	at, ok := ctx.Deadline()
-	if outcome != fireflymoor.NotRun || !ok {
-		return 0
-	}
-	left := time.Until(at)
-	if left <= 0 {
-		return 0
-	}
-	latest := left / returnLeft
-	if route.Objective > 0 {
-		latest = min(latest, route.Objective/lastReturn)
-	}
-	earliest := latest * lastReturn / firstReturn
-	return earliest + time.Duration(rand.Int64N(int64(latest-earliest)+1))
-}
-
-func failureStatus(ctx context.Context, c *call, outcome fireflymoor.Outcome) int {
-	switch {
-	case c.body.overflowed():
-		return http.StatusRequestEntityTooLarge
-	case outcome == fireflymoor.NotRun:
-		return http.StatusServiceUnavailable
-	case ctx.Err() != nil:
-		return http.StatusGatewayTimeout
-	}
-	return http.StatusBadGateway
-}
-
-// mayRetry decides on one more try. A call that was not run may be tried
-// elsewhere whatever its method; one that may have run only if it may repeat.
-// Only tries that reached a target count as the route's and draw on the budget.
-func (h *Handler) mayRetry(ctx context.Context, c *call, outcome fireflymoor.Outcome, err error) bool {
-	repeatable := outcome == fireflymoor.NotRun || c.route.MayRepeat(c.request.Method)
-	arrived := outcome == fireflymoor.Unknown || errors.Is(err, fireflymoor.ErrArrived)
-	if arrived {
-		c.arrivals++
-	}
-	switch {
-	case errors.Is(err, errNoTarget), c.arrivals > c.route.Retries, len(c.tried) >= mostTries, !repeatable, ctx.Err() != nil:
-		return false
-	case !c.body.replayable():
-		h.options.Log.Info().Str("call", c.id).Err(errBodySpent).Msg("caller: no retry")
-		return false
-	case arrived && !h.options.Budget.Spend(c.service.Name, c.view.Configuration().Limits().RetryBudget, time.Now()):
-		h.options.Log.Info().Str("call", c.id).Str("service", c.service.Name).Err(errOverBudget).Msg("caller: no retry")
-		return false
-	}
-	return retrier.Wait(ctx, c.arrivals, outcome) == nil
-}
-
 // try sends the call to one target.
 func (h *Handler) try(ctx context.Context, c *call) (*http.Response, fireflymoor.Outcome, error) {
 	now := time.Now()
@@ -333,85 +270,6 @@
 	}
 }
 
-// failed counts a failure against a target, unless the caller itself gave up
-// early or the target's node was merely busy. A caller that gave up after the
-// objective had good reason to.
-func (h *Handler) failed(ctx context.Context, c *call, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) && time.Since(c.began) < c.route.Objective+minPatience {
-		return
-	}
-	h.options.Metrics.failed.WithLabelValues(outcome.String()).Inc()
-	switch {
-	case errors.Is(err, fireflymoor.ErrDraining):
-		h.options.Ejector.Left(target.ID, time.Now())
-		return
-	case errors.Is(err, fireflymoor.ErrBusy):
-		h.options.Tracker.Refused(target, time.Now())
-		return
-	}
-	h.options.Ejector.Failed(target.ID, time.Now())
-}
-
-// pick chooses among the targets that are ready, not ejected and not tried
-// yet; if none is left, among those that are merely suspected.
-func (h *Handler) pick(c *call, now time.Time) (fireflymoor.Pick, bool) {
-	all := h.options.Viewer.View().Targets(c.service.Name)
-	share := c.view.Configuration().Limits().EjectShare
-	ready := untried(all, fireflymoor.Ready, c.view.Configuration().Team(), c.tried)
-	if len(ready) == 0 {
-		ready = untried(all, fireflymoor.Suspect, c.view.Configuration().Team(), c.tried)
-	}
-	kept := h.options.Ejector.Keep(ready, share, now)
-	candidates := make([]fireflymoor.Candidate, 0, len(kept))
-	for i := range kept {
-		candidates = append(candidates, h.options.Tracker.Candidate(kept[i], c.service.SlowStart, now))
-	}
-	return h.options.Balancer.Pick(moving(candidates), now)
-}
-
-// pass passes a target's answer on.
-func (h *Handler) pass(ctx context.Context, w http.ResponseWriter, c *call, response *http.Response) {
-	if c.grant != nil {
-		h.answerOnce(ctx, w, c, response)
-		return
-	}
-	h.answer(w, c, response)
-}
-
-func (h *Handler) answer(w http.ResponseWriter, c *call, response *http.Response) {
-	defer func() {
-		_ = response.Body.Close()
-	}()
-	h.options.Metrics.observe(fireflymoor.Answered, c.began)
-	labeler.CleanHop(response.Header)
-	response.Header.Del(labeler.CallID)
-	response.Header.Del(labeler.Outcome)
-	h.options.Dialect.WriteAnswer(response.Header, c.id)
-	receiver.Copy(w, response)
-}
-
-func (h *Handler) refuse(w http.ResponseWriter, id string, status int, outcome fireflymoor.Outcome, reason string) {
-	h.refuseLater(w, id, status, outcome, reason, 0)
-}
-
-// refuseLater refuses a call whose caller should come back after a time.
-func (h *Handler) refuseLater(w http.ResponseWriter, id string, status int, outcome fireflymoor.Outcome, reason string, after time.Duration) {
-	h.options.Metrics.ended.WithLabelValues(outcome.String()).Inc()
-	if h.options.Decisions {
-		h.options.Log.Info().Str("call", id).Int("status", status).
-			Stringer("outcome", outcome).Str("reason", reason).Msg("caller: refused")
-	}
-	refusal := fireflymoor.Refusal{
-		Status:  status,
-		Outcome: outcome,
-		Reason:  receiver.OneLine(reason),
-
-		RetryAfter: after,
-	}
-	h.options.Dialect.WriteRefusal(w.Header(), refusal)
-	http.Error(w, outcome.String()+": "+refusal.Reason, status)
-}
-
 // endingBody says when an answer has been read or left.
 type endingBody struct {
 	io.ReadCloser
--- a/internal/caller/candidates.go
+++ b/internal/caller/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fireflymoor/fireflymoor"
 )
@@ -33,3 +34,20 @@
 	}
 	return kept
 }
+
+// pick chooses among the targets that are ready, not ejected and not tried
+// yet; if none is left, among those that are merely suspected.
+func (h *Handler) pick(c *call, now time.Time) (fireflymoor.Pick, bool) {
+	all := h.options.Viewer.View().Targets(c.service.Name)
+	share := c.view.Configuration().Limits().EjectShare
+	ready := untried(all, fireflymoor.Ready, c.view.Configuration().Team(), c.tried)
+	if len(ready) == 0 {
+		ready = untried(all, fireflymoor.Suspect, c.view.Configuration().Team(), c.tried)
+	}
+	kept := h.options.Ejector.Keep(ready, share, now)
+	candidates := make([]fireflymoor.Candidate, 0, len(kept))
+	for i := range kept {
+		candidates = append(candidates, h.options.Tracker.Candidate(kept[i], c.service.SlowStart, now))
+	}
+	return h.options.Balancer.Pick(moving(candidates), now)
+}
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -37,9 +37,6 @@
 	Sequence uint64 `json:"sequence,omitempty"`
 	// Draining says that the target wants no new work.
 	Draining bool `json:"draining,omitempty"`
-	// Cold is how much longer the target is slow after its start, in
-	// milliseconds.
-	Cold int64 `json:"cold,omitempty"`
 }
 
 // same says whether b describes the same target with the same capacity.
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -133,15 +133,11 @@
 		return response, fireflymoor.Answered, nil
 	}
 	_ = response.Body.Close()
-	switch {
-	case verdict.Err != nil:
+	if verdict.Err != nil {
 		return nil, fireflymoor.Unknown, errors.Wrapf(verdict.Err, "target %s: read the answer", t.announcement.ID)
-	case verdict.Draining:
-		err = fireflymoor.ErrDraining
-	default:
-		err = fireflymoor.ErrBusy
 	}
-	return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(err, "target %s: refused", t.announcement.ID), fireflymoor.ErrArrived)
+	err = errors.Wrapf(fireflymoor.ErrBusy, "target %s: refused", t.announcement.ID)
+	return nil, fireflymoor.NotRun, errors.Mark(err, fireflymoor.ErrArrived)
 }
 
 // left returns the time that ctx has left, or 0 if it has no deadline.
