Grow the soak: several seeds, more faults, and no cut at a graceful stop

Change: the verb is soak and plays any number of seeds. Up to three faults at a time instead of two; new are stops of targets and replicas, kills in a row, settings read again, and slow links. A call that its target ran and that got no answer, at a node that was neither killed nor frozen meanwhile, is a violation.

Ruled out: faults of the clock and of the store's files from outside; the processes run as the user who owns the files, and no tool for either is on loopback. They stay with the tests of the replicated log.

--- a/cmd/fireflybench/main.go
+++ b/cmd/fireflybench/main.go
@@ -17,7 +17,7 @@
 	Target   targetCommand   `cmd:"" help:"Be one stand-in target."`
 	Slopes   slopesCommand   `cmd:"" help:"Measure what control costs each role against the number of nodes and services."`
 	Converge convergeCommand `cmd:"" help:"Measure a users' mesh with its delays, beside a direct feed."`
-	Chaos    chaosCommand    `cmd:"" help:"Make random faults two at a time under callers and operators, and check what must always hold."`
+	Soak     soakCommand     `cmd:"" help:"Make random faults, several at a time, under callers and operators, and check what must always hold."`
 	Decide   decideCommand   `cmd:"" help:"Measure each decision on the callers' path against its simple baseline."`
 	Herd     herdCommand     `cmd:"" help:"Kill and start many processes at once, and measure their return."`
 	Latency  latencyCommand  `cmd:"" help:"Measure what nodes add to a call, beside a direct call."`
--- a/cmd/fireflybench/chaos.go
+++ b/cmd/fireflybench/soak.go
@@ -17,12 +17,13 @@
 	"github.com/fireflymoor/fireflymoor/pkg/administrator"
 )
 
-// chaosCommand makes random faults happen to real processes while callers and
+// soakCommand makes random faults happen to real processes while callers and
 // operators are at work, and checks by counting at callers and targets what
 // must always hold.
-type chaosCommand struct {
+type soakCommand struct {
 	fleetOptions
-	Seed    uint64        `default:"1" help:"Seed of the faults."`
+	Seed    uint64        `default:"1" help:"Seed of the first run's faults."`
+	Seeds   int           `default:"1" help:"Number of runs, with a seed each from the first on."`
 	For     time.Duration `default:"20s" help:"Time with faults."`
 	Zones   int           `default:"3" help:"Number of availability zones."`
 	Nodes   int           `default:"9" help:"Number of nodes."`
@@ -31,7 +32,7 @@
 }
 
 const (
-	chaosDelay = 5 * time.Millisecond
+	soakDelay = 5 * time.Millisecond
 	// changeBound is the letter's bound on a change, and on a node after a cut.
 	changeBound = 4 * time.Second
 	// silenceBound is how long a silent connection may cost later calls.
@@ -45,8 +46,8 @@
 	operators = 2
 )
 
-// chaosResult is what a run gave.
-type chaosResult struct {
+// soakResult is what a run gave.
+type soakResult struct {
 	Seed       uint64         `json:"seed"`
 	Faults     map[string]int `json:"faults"`
 	Posts      auditor.Report `json:"posts"`
@@ -60,8 +61,17 @@
 	Violations []string       `json:"violations"`
 }
 
-// Run runs the command.
-func (c *chaosCommand) Run(ctx context.Context) error {
+// Run runs the command. It plays all seeds, also after one that failed.
+func (c *soakCommand) Run(ctx context.Context) error {
+	var all error
+	for i := range c.Seeds {
+		all = errors.CombineErrors(all, c.play(ctx, c.Seed+uint64(i)))
+	}
+	return all
+}
+
+// play makes one run on a system of its own.
+func (c *soakCommand) play(ctx context.Context, seed uint64) error {
 	relay := relayer.New()
 	serving, stop := context.WithCancel(ctx)
 	defer stop()
@@ -72,7 +82,7 @@
 		services: 1,
 		level:    "info",
 		apart:    true,
-		delay:    chaosDelay,
+		delay:    soakDelay,
 
 		keyWindow: keyWindow,
 		relay: func(listen, to string) error {
@@ -86,12 +96,12 @@
 		f.end(c.Keep)
 		return err
 	}
-	run := &chaos{
+	run := &soak{
 		command: c,
 		fleet:   f,
 		began:   time.Now(),
-		result: chaosResult{
-			Seed: c.Seed,
+		result: soakResult{
+			Seed: seed,
 		},
 	}
 	run.disturber = disturber.New(disturber.Options{
@@ -113,33 +123,33 @@
 	return run.report()
 }
 
-// chaos is one run.
-type chaos struct {
-	command   *chaosCommand
+// soak is one run.
+type soak struct {
+	command   *soakCommand
 	fleet     *fleet
 	disturber *disturber.Disturber
 	began     time.Time
-	result    chaosResult
+	result    soakResult
 }
 
-func (r *chaos) tell(text string) {
+func (r *soak) tell(text string) {
 	if !r.command.Quiet {
 		fmt.Fprintf(os.Stderr, "%8s  %s\n", time.Since(r.began).Round(time.Millisecond), text)
 	}
 }
 
-func (r *chaos) violated(format string, arguments ...any) {
+func (r *soak) violated(format string, arguments ...any) {
 	r.result.Violations = append(r.result.Violations, fmt.Sprintf(format, arguments...))
 }
 
-func (r *chaos) all(ctx context.Context) error {
+func (r *soak) all(ctx context.Context) error {
 	posts := r.callers(http.MethodPost, false)
 	gets := r.callers(http.MethodGet, false)
 	keyed := r.callers(http.MethodPost, true)
 	changers := startChangers(r.fleet, operators)
 	faulty, cancel := context.WithTimeout(ctx, r.command.For)
 	defer cancel()
-	r.result.Faults = r.disturber.Run(faulty, r.command.Seed)
+	r.result.Faults = r.disturber.Run(faulty, r.result.Seed)
 	healed := time.Now()
 	r.tell("all faults undone")
 	if err := r.recover(ctx, healed, changers); err != nil {
@@ -160,19 +170,20 @@
 	return r.calm(ctx)
 }
 
-func (r *chaos) callers(method string, keyed bool) *auditor.Auditor {
+func (r *soak) callers(method string, keyed bool) *auditor.Auditor {
 	return auditor.Start(auditor.Options{
 		Callers: r.command.Callers,
 		Method:  method,
 		Service: serviceName(0),
 		Nodes:   func() []*launcher.Process { return r.fleet.nodes },
 		Keyed:   keyed,
+		Harmed:  r.disturber.Harmed,
 	})
 }
 
 // recover waits until all is well after the last fault, and checks what the
 // operators were told.
-func (r *chaos) recover(ctx context.Context, healed time.Time, changers *changers) error {
+func (r *soak) recover(ctx context.Context, healed time.Time, changers *changers) error {
 	returning, cancel := context.WithTimeout(ctx, returnBound)
 	defer cancel()
 	if err := changers.settle(returning); err != nil {
@@ -204,10 +215,10 @@
 }
 
 // calm makes sure that no call is lost once all faults are undone.
-func (r *chaos) calm(ctx context.Context) error {
+func (r *soak) calm(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "chaos")
+		return errors.Wrap(ctx.Err(), "soak")
 	case <-time.After(silenceBound):
 	}
 	callers := r.callers(http.MethodPost, false)
@@ -225,7 +236,7 @@
 	return err
 }
 
-func (r *chaos) checkLogs() {
+func (r *soak) checkLogs() {
 	for _, p := range slices.Concat(r.fleet.controls, r.fleet.nodes) {
 		r.result.Violations = append(r.result.Violations, auditor.CheckLog(p)...)
 	}
@@ -264,7 +275,7 @@
 	return true
 }
 
-func (r *chaos) report() error {
+func (r *soak) report() error {
 	result := r.result
 	fmt.Printf("seed %d, %s, faults %v\n", result.Seed, r.command.For, result.Faults)
 	fmt.Printf("must not repeat: %s\n", result.Posts)
@@ -280,7 +291,7 @@
 		return err
 	}
 	if len(result.Violations) > 0 {
-		return errors.Newf("chaos: seed %d: %d violations", result.Seed, len(result.Violations))
+		return errors.Newf("soak: seed %d: %d violations", result.Seed, len(result.Violations))
 	}
 	fmt.Println("verdict: what must always hold held")
 	return nil
--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -54,6 +54,9 @@
 	// Keyed gives each call an idempotency key, and sends it again, through
 	// any node, also after it was answered.
 	Keyed bool
+	// Harmed says whether a node was killed or stood still at some time between
+	// two. Without it, a call that gets no answer is only counted.
+	Harmed func(node *launcher.Process, from, to time.Time) bool
 }
 
 // An Auditor is callers at work, until End.
@@ -72,6 +75,8 @@
 	outcome string
 	detail  string
 	wrong   string
+	// cut says that the call got no answer from a node that was not harmed.
+	cut bool
 }
 
 // Report is what the callers and the targets counted.
@@ -139,8 +144,14 @@
 	nodes := a.options.Nodes()
 	node := nodes[rand.IntN(len(nodes))]
 	path := "/" + a.options.Service + "/" + name
+	began := time.Now()
 	answer := Call(node, a.options.Method, path, name, "body of "+name, headers...)
-	return check(answer, name, path)
+	e := check(answer, name, path)
+	if answer.Err != nil && a.options.Harmed != nil {
+		e.cut = !a.options.Harmed(node, began, time.Now())
+		e.detail += " at " + node.Name
+	}
+	return e
 }
 
 // sendAgain sends a call with a key several times. It was not run only if
@@ -239,6 +250,9 @@
 		r.Refusals = append(r.Refusals, name+" is unknown: "+e.detail)
 	default:
 		r.Broken++
+		if e.cut && runs > 0 {
+			r.Violations = append(r.Violations, name+" was cut though its node was only told to stop: "+e.detail)
+		}
 	}
 }
 
--- a/internal/disturber/disturber.go
+++ b/internal/disturber/disturber.go
@@ -15,7 +15,7 @@
 
 const (
 	// hands is how many faults there may be at a time.
-	hands = 2
+	hands = 3
 	// leastPause and pauseSpread are the time between a hand's faults.
 	leastPause  = 200 * time.Millisecond
 	pauseSpread = 1000 * time.Millisecond
@@ -49,11 +49,18 @@
 
 	lock   sync.Mutex
 	taken  map[*launcher.Process]bool
+	harms  []harm
 	rules  map[int]func(from, to string) relayer.Rule
 	next   int
 	counts map[string]int
 }
 
+// harm is a time in which a process cannot be held to what it began.
+type harm struct {
+	process  *launcher.Process
+	from, to time.Time
+}
+
 // New returns a new Disturber. It makes all links pass.
 func New(options Options) *Disturber {
 	d := &Disturber{
@@ -132,6 +139,34 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	delete(d.taken, p)
+	for i := range d.harms {
+		if d.harms[i].process == p && d.harms[i].to.IsZero() {
+			d.harms[i].to = time.Now()
+		}
+	}
+}
+
+// harm notes that a process is killed or stands still, until it is released.
+func (d *Disturber) harm(p *launcher.Process) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.harms = append(d.harms, harm{
+		process: p,
+		from:    time.Now(),
+	})
+}
+
+// Harmed says whether a process was killed or stood still at some time between
+// two. One that was told to stop was not.
+func (d *Disturber) Harmed(p *launcher.Process, from, to time.Time) bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	for _, h := range d.harms {
+		if h.process == p && h.from.Before(to) && (h.to.IsZero() || h.to.After(from)) {
+			return true
+		}
+	}
+	return false
 }
 
 // restart starts a process that has ended, and gives it free.
--- a/internal/disturber/fault.go
+++ b/internal/disturber/fault.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -16,6 +17,12 @@
 	lossOneIn = 10
 	// resendDelay is what a lost piece costs on its connection.
 	resendDelay = 200 * time.Millisecond
+	// slowDelay is the one-way delay of a slow link.
+	slowDelay = 60 * time.Millisecond
+	// mostInARow is how often a process is killed in a row at most, and
+	// inARowSpread the longest time that it runs in between.
+	mostInARow   = 4
+	inARowSpread = 400 * time.Millisecond
 )
 
 // fault is one kind of fault. It begins with a random victim and returns what
@@ -32,12 +39,18 @@
 	{name: "freeze of a node", begin: freezeOf(nodes)},
 	{name: "freeze of a target", begin: freezeOf(targets)},
 	{name: "freeze of a control replica", begin: freezeOf(controls)},
-	{name: "graceful restart", begin: gracefulRestart},
+	{name: "stop of a node", begin: stopOf(nodes)},
+	{name: "stop of a target", begin: stopOf(targets)},
+	{name: "stop of a control replica", begin: stopOf(controls)},
+	{name: "kills of a node in a row", begin: killInARow(nodes)},
+	{name: "kills of a control replica in a row", begin: killInARow(controls)},
+	{name: "settings read again", begin: reload},
 	{name: "lost disk", begin: loseDisk},
 	{name: "herd", begin: killZone},
 	{name: "cut zone", begin: cutZone},
 	{name: "one-way cut", begin: cutOneWay},
 	{name: "lossy links", begin: loseBytes},
+	{name: "slow links", begin: slowLinks},
 	{name: "silent connections", begin: silence},
 	{name: "reset connections", begin: reset},
 }
@@ -52,17 +65,39 @@
 		if p == nil {
 			return "", nil
 		}
+		d.harm(p)
 		p.Kill()
 		return p.Name, func() { d.restart(p) }
 	}
 }
 
+// killInARow kills a process again each time that it has just been started.
+func killInARow(among func(Options) []*launcher.Process) func(*Disturber, *rand.Rand) (string, func()) {
+	return func(d *Disturber, random *rand.Rand) (string, func()) {
+		p := d.take(among(d.options), random)
+		if p == nil {
+			return "", nil
+		}
+		times := 2 + random.IntN(mostInARow-1)
+		d.harm(p)
+		for range times {
+			p.Kill()
+			if err := d.options.Cluster.Restart(p); err != nil {
+				d.options.Tell(err.Error())
+			}
+			time.Sleep(time.Duration(random.Int64N(int64(inARowSpread))))
+		}
+		return fmt.Sprintf("%s %d times", p.Name, times), func() { d.release(p) }
+	}
+}
+
 func freezeOf(among func(Options) []*launcher.Process) func(*Disturber, *rand.Rand) (string, func()) {
 	return func(d *Disturber, random *rand.Rand) (string, func()) {
 		p := d.take(among(d.options), random)
 		if p == nil {
 			return "", nil
 		}
+		d.harm(p)
 		p.Signal(syscall.SIGSTOP)
 		return p.Name, func() {
 			p.Signal(syscall.SIGCONT)
@@ -71,18 +106,29 @@
 	}
 }
 
-func gracefulRestart(d *Disturber, random *rand.Rand) (string, func()) {
-	p := d.take(d.options.Nodes, random)
-	if p == nil {
-		return "", nil
-	}
-	p.Signal(syscall.SIGTERM)
-	return p.Name, func() {
-		<-p.Ended()
-		d.restart(p)
+// stopOf tells a process to stop, and starts it again once it has ended.
+func stopOf(among func(Options) []*launcher.Process) func(*Disturber, *rand.Rand) (string, func()) {
+	return func(d *Disturber, random *rand.Rand) (string, func()) {
+		p := d.take(among(d.options), random)
+		if p == nil {
+			return "", nil
+		}
+		p.Signal(syscall.SIGTERM)
+		return p.Name, func() {
+			<-p.Ended()
+			d.restart(p)
+		}
 	}
 }
 
+// reload has a process read its settings again, whatever else befalls it.
+func reload(d *Disturber, random *rand.Rand) (string, func()) {
+	among := slices.Concat(d.options.Nodes, d.options.Controls)
+	p := among[random.IntN(len(among))]
+	p.Signal(syscall.SIGHUP)
+	return p.Name, func() {}
+}
+
 // loseDisk kills a control replica and removes its data, if all disks vote:
 // more lost disks than a minority at a time are beyond what must be borne.
 func loseDisk(d *Disturber, random *rand.Rand) (string, func()) {
@@ -94,6 +140,7 @@
 		d.release(p)
 		return "", nil
 	}
+	d.harm(p)
 	p.Kill()
 	if err := os.RemoveAll(d.options.Cluster.DataFolder(p.Name)); err != nil {
 		d.options.Tell(err.Error())
@@ -107,6 +154,7 @@
 	var herd []*launcher.Process
 	for _, p := range d.options.Nodes {
 		if launcher.ZoneOf(p.IP) == zone && d.claim(p) {
+			d.harm(p)
 			p.Kill()
 			herd = append(herd, p)
 		}
@@ -152,6 +200,19 @@
 	})
 }
 
+// slowLinks delays all that goes to or from an availability zone.
+func slowLinks(d *Disturber, random *rand.Rand) (string, func()) {
+	zone := random.IntN(d.options.Zones)
+	return fmt.Sprintf("zone %d", zone), d.addRule(func(from, to string) relayer.Rule {
+		if launcher.ZoneOf(from) != zone && launcher.ZoneOf(to) != zone {
+			return relayer.Rule{}
+		}
+		return relayer.Rule{
+			Delay: slowDelay,
+		}
+	})
+}
+
 // silence makes the open connections to one node's instance silent for good.
 func silence(d *Disturber, random *rand.Rand) (string, func()) {
 	p := d.options.Nodes[random.IntN(len(d.options.Nodes))]
