Keep calls in the own instance while its target has a slot

An instance's link of 1.55 Mbit/s carries some 285 KB/s both ways then: the links are full, not the processors (0.022 of 0.16 cores).

Ruled out: processor time, as above; a lack of slots (half of them idle).

Change: the balancer takes the target of the own instance while it has a free slot and is not 1.5 times slower than others. Its calls cross no link.

Conclusion: a part of the cause; what each call costs the links is next.

--- a/cmd/fireflybench/decide.go
+++ b/cmd/fireflybench/decide.go
@@ -270,7 +270,7 @@
 		},
 		Balancer:  d.balancer(),
 		Forwarder: targets,
-		Tracker:   tracker.New(zone),
+		Tracker:   tracker.New("", zone),
 		Ejector:   ejector.New(),
 		Budget:    retrier.NewBudget(),
 		Metrics:   caller.NewMetrics(prometheus.NewRegistry()),
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -20,10 +20,14 @@
 	// zone than at one elsewhere and still go there: links between zones are
 	// dear.
 	farCost = 3
+	// ownCost is the same for the target of the own instance against others:
+	// an instance's link is thin, and a call that stays crosses none.
+	ownCost = 1.5
 )
 
 // The reasons for a pick.
 const (
+	ReasonOwn   = "own instance has a slot"
 	ReasonLocal = "lower of two in the zone"
 	ReasonSpill = "zone is full or slow, lower of two elsewhere"
 	ReasonFull  = "all are full, lowest of those looked at"
@@ -32,9 +36,11 @@
 
 type twoChoices struct{}
 
-// NewTwoChoices returns a new fireflymoor.Balancer that takes two random
-// targets of the own availability zone and picks the one that costs less, and
-// spills over to other zones when the zone is full or much slower. What a
+// NewTwoChoices returns a new fireflymoor.Balancer that prefers the target of
+// the own instance while it has a slot and is not slower than others. Else it
+// takes two random targets of the own availability zone and picks the one that
+// costs less, and spills over to other zones when the zone is full or much
+// slower. What a
 // target costs is by the proxy's own calls, how many and how long; the load
 // that the target tells is a hint.
 func NewTwoChoices() fireflymoor.Balancer {
@@ -52,6 +58,9 @@
 	base := leastLatency(candidates)
 	near := lowerOfTwo(candidates, true, false, base)
 	far := lowerOfTwo(candidates, false, false, base)
+	if own := ownWithSlot(candidates); own != nil && stays(own, near, base) && stays(own, far, base) {
+		return pick(own, ReasonOwn), true
+	}
 	switch {
 	case near != nil && (far == nil || delay(near, base) <= farCost*delay(far, base)):
 		return pick(near, ReasonLocal), true
@@ -73,6 +82,22 @@
 	}
 }
 
+// ownWithSlot returns the target of the own instance, if it has a free slot.
+func ownWithSlot(candidates []fireflymoor.Candidate) *fireflymoor.Candidate {
+	for i := range candidates {
+		if candidates[i].Own && used(&candidates[i]) < full {
+			return &candidates[i]
+		}
+	}
+	return nil
+}
+
+// stays says whether a call should stay in the own instance rather than go to
+// another target, which may be nil.
+func stays(own, other *fireflymoor.Candidate, base time.Duration) bool {
+	return other == nil || delay(own, base) <= ownCost*delay(other, base)
+}
+
 // leastLatency returns the least latency that is known, or 0.
 func leastLatency(candidates []fireflymoor.Candidate) time.Duration {
 	least := time.Duration(0)
@@ -121,8 +146,12 @@
 	if c.Local {
 		limit = nearFull
 	}
-	used := float64(c.InFlight) / float64(max(c.Target.Slots, 1))
-	return max(used, c.Load) >= limit
+	return used(c) >= limit
+}
+
+// used is the share of a target's slots in use, as far as is known.
+func used(c *fireflymoor.Candidate) float64 {
+	return max(float64(c.InFlight)/float64(max(c.Target.Slots, 1)), c.Load)
 }
 
 // delay is how long a call takes at a target in proportion to the others. As
@@ -132,8 +161,7 @@
 	if c.Latency > 0 {
 		latency = float64(c.Latency) / float64(base)
 	}
-	used := float64(c.InFlight) / float64(max(c.Target.Slots, 1))
-	return latency * max(used, c.Load, 1) / max(c.Weight, leastWeight)
+	return latency * max(used(c), 1) / max(c.Weight, leastWeight)
 }
 
 // cost is the time that one more call would take at a target in proportion to
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -31,6 +31,12 @@
 	return c
 }
 
+// own returns a candidate of the proxy's own instance.
+func own(c fireflymoor.Candidate) fireflymoor.Candidate {
+	c.Own = true
+	return c
+}
+
 // inFlight returns a candidate at which the proxy has calls.
 func inFlight(c fireflymoor.Candidate, calls int) fireflymoor.Candidate {
 	c.InFlight = calls
@@ -53,6 +59,34 @@
 			candidates: []fireflymoor.Candidate{candidate("a", 9, 1, false)},
 			allowed:    "a",
 		},
+		{
+			name: "the own instance before the zone while it has a slot: its calls cross no thin link",
+			candidates: []fireflymoor.Candidate{
+				own(candidate("a", 0.9, 1, true)), candidate("b", 0, 1, true), candidate("c", 0, 1, true),
+			},
+			allowed: "a",
+		},
+		{
+			name: "the zone when calls wait at the own instance",
+			candidates: []fireflymoor.Candidate{
+				own(candidate("a", 1.1, 1, true)), candidate("b", 0.3, 1, true),
+			},
+			allowed: "b",
+		},
+		{
+			name: "the zone when the own instance is slower",
+			candidates: []fireflymoor.Candidate{
+				own(slow(candidate("a", 0, 1, true))), candidate("b", 0.3, 1, true),
+			},
+			allowed: "b",
+		},
+		{
+			name: "the zone while the own instance is cold",
+			candidates: []fireflymoor.Candidate{
+				own(candidate("a", 0, 0.2, true)), candidate("b", 0.3, 1, true),
+			},
+			allowed: "b",
+		},
 		{
 			name: "the zone before others",
 			candidates: []fireflymoor.Candidate{
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -66,7 +66,7 @@
 		Viewer:    o,
 		Balancer:  balancer.NewTwoChoices(),
 		Forwarder: o,
-		Tracker:   tracker.New("zone"),
+		Tracker:   tracker.New("node", "zone"),
 		Ejector:   ejector.New(),
 		Budget:    retrier.NewBudget(),
 		Metrics:   NewMetrics(prometheus.NewRegistry()),
--- a/internal/runner/call_test.go
+++ b/internal/runner/call_test.go
@@ -78,7 +78,7 @@
 			},
 			Balancer:  balancer.NewTwoChoices(),
 			Forwarder: forwarder.New(node, local, forwarder.NewRemote(dial)),
-			Tracker:   tracker.New("zone"),
+			Tracker:   tracker.New("node", "zone"),
 			Ejector:   ejector.New(),
 			Budget:    retrier.NewBudget(),
 			Metrics:   caller.NewMetrics(prometheus.NewRegistry()),
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -80,7 +80,7 @@
 		member:  m,
 		applier: applier.New(settings.Team, renderer.New(parser.New()), m.asserter),
 		reports: newReports(settings.Zone, settings.Name),
-		tracker: tracker.New(settings.Zone),
+		tracker: tracker.New(settings.Name, settings.Zone),
 		remote:  forwarder.NewRemote(m.dialer),
 		claims:  newClaims(settings, m.client),
 	}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -31,6 +31,7 @@
 
 // A Tracker tracks targets by id and boot.
 type Tracker struct {
+	node    string
 	zone    string
 	entries sync.Map
 }
@@ -52,9 +53,10 @@
 	moved atomic.Int64
 }
 
-// New returns a new Tracker for a proxy in a zone.
-func New(zone string) *Tracker {
+// New returns a new Tracker for the proxy of a node in a zone.
+func New(node, zone string) *Tracker {
 	return &Tracker{
+		node: node,
 		zone: zone,
 	}
 }
@@ -148,6 +150,7 @@
 		Stalled:  e.stalled(latency, now),
 		Weight:   weight,
 		Local:    target.Zone == t.zone,
+		Own:      target.Node == t.node,
 	}
 }
 
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -15,10 +15,11 @@
 	is := is.New(t)
 	target := fireflymoor.Target{
 		ID:   "a",
+		Node: "node",
 		Zone: "zone",
 	}
 	now := time.Unix(1000, 0)
-	tracker := New("zone")
+	tracker := New("node", "zone")
 	end := tracker.Begin(target, now)
 	tracker.Answered(target, 100*time.Millisecond, now)
 	tracker.SetLoad(target, 0.5, now)
@@ -27,6 +28,7 @@
 	is.Equal(c.Load, 0.5)
 	is.Equal(c.Latency, 100*time.Millisecond)
 	is.True(c.Local)
+	is.True(c.Own)
 	end()
 	tracker.Answered(target, 200*time.Millisecond, now)
 	is.Equal(tracker.Candidate(target, 0, now).Latency, 120*time.Millisecond)
@@ -44,7 +46,7 @@
 	is := is.New(t)
 	target := fireflymoor.Target{ID: "a"}
 	now := time.Unix(1000, 0)
-	tracker := New("zone")
+	tracker := New("node", "zone")
 	is.Equal(tracker.Candidate(target, 2*time.Second, now).Weight, 0.0)
 	is.Equal(tracker.Candidate(target, 2*time.Second, now.Add(time.Second)).Weight, 0.5)
 	is.Equal(tracker.Candidate(target, 2*time.Second, now.Add(2*time.Second)).Weight, 1.0)
@@ -55,7 +57,7 @@
 // once a call has come back. One slow call is no sign.
 func TestStalled(t *testing.T) {
 	is := is.New(t)
-	tr := New("zone")
+	tr := New("node", "zone")
 	target := fireflymoor.Target{ID: "a"}
 	now := time.Unix(1, 0)
 	stalledAt := func(at time.Time) bool { return tr.Candidate(target, 0, at).Stalled }
--- a/view.go
+++ b/view.go
@@ -106,6 +106,9 @@
 	Weight float64
 	// Local says whether it is in the proxy's own availability zone.
 	Local bool
+	// Own says whether it is in the proxy's own instance, so that its calls
+	// cross no link.
+	Own bool
 }
 
 // A Pick is a balancer's choice.
