Pack the headers of calls between nodes in one

A call between nodes bore some 850 bytes of headers both ways beside bodies of 400 to 1,500: names of up to 29 letters for values of a few, a date, a guessed content type, and the reason of a refusal twice.

Change: a packer gathers what every process knows, and the headers that the platform's dialect names as common, in one header of a letter and a value each. Nodes add neither a date nor a guessed type, and answers go to callers without a type that the target did not give.

Conclusion: half of the bytes of a call were headers; what they carry now is needed but for the names of nodes in ids.

--- a/dialect.go
+++ b/dialect.go
@@ -49,6 +49,9 @@
 // A Dialect is how callers and targets write what they say beside a call's
 // own content.
 type Dialect interface {
+	// Common returns the names, in canonical form, of the headers that most
+	// calls and answers bear. Nodes send them to each other in short.
+	Common() []string
 	// ReadCall reads the head of a caller's call. It drops from the header
 	// what only the system may write.
 	ReadCall(header http.Header) (CallHead, error)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/labeler"
+	"github.com/fireflymoor/fireflymoor/internal/packer"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
 )
@@ -68,16 +69,18 @@
 // A Remote carries calls to other nodes.
 type Remote struct {
 	dialer     *dialer.Dialer
+	packer     *packer.Packer
 	lock       sync.Mutex
 	transports map[string]*sender.Transport
 	asker      *sender.Transport
 }
 
-// NewRemote returns a new Remote.
-func NewRemote(dialer *dialer.Dialer) *Remote {
-	asker := sender.NewTransport(dialer.Traffic(dialTimeout), 0)
+// NewRemote returns a new Remote, whose calls bear headers that packer packs.
+func NewRemote(dialer *dialer.Dialer, packer *packer.Packer) *Remote {
+	asker := sender.NewTransport(dialer.Traffic(dialTimeout), 0, sender.WithPacker(packer))
 	return &Remote{
 		dialer:     dialer,
+		packer:     packer,
 		transports: map[string]*sender.Transport{},
 		asker:      asker,
 	}
@@ -90,7 +93,7 @@
 	defer f.lock.Unlock()
 	t := f.transports[address]
 	if t == nil {
-		t = sender.NewTransport(f.dialer.Traffic(dialTimeout), idleTimeout, sender.WithOwn(own))
+		t = sender.NewTransport(f.dialer.Traffic(dialTimeout), idleTimeout, sender.WithOwn(own), sender.WithPacker(f.packer))
 		f.transports[address] = t
 	}
 	return t
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -17,6 +17,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/counter"
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/labeler"
+	"github.com/fireflymoor/fireflymoor/internal/packer"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 )
 
@@ -25,11 +26,11 @@
 func TestRefusalKeepsTheConnection(t *testing.T) {
 	is := is.New(t)
 	var opened atomic.Int64
-	busy := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	busy := httptest.NewUnstartedServer(packer.New().Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
 		w.Header().Set(labeler.Outcome, fireflymoor.NotRun.String())
 		http.Error(w, "all slots are full", http.StatusServiceUnavailable)
-	}))
+	})))
 	busy.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			opened.Add(1)
@@ -37,7 +38,7 @@
 	}
 	busy.Start()
 	defer busy.Close()
-	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())))
+	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())), packer.New())
 	for range 50 {
 		request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
 		request.Header.Set(labeler.CallID, "call")
@@ -60,10 +61,10 @@
 	is := is.New(t)
 	is.True(idleTimeout+silence < silentCost)
 	var opened, closed atomic.Int64
-	node := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	node := httptest.NewUnstartedServer(packer.New().Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
 		w.Header().Set(labeler.Outcome, fireflymoor.Answered.String())
-	}))
+	})))
 	node.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		switch state {
 		case http.StateNew:
@@ -74,7 +75,7 @@
 	}
 	node.Start()
 	defer node.Close()
-	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())))
+	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())), packer.New())
 	request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
 	request.Header.Set(labeler.CallID, "call")
 	response, _, err := f.Forward(t.Context(), fireflymoor.Target{
@@ -125,7 +126,7 @@
 	t.Helper()
 	is := is.New(t)
 	var once sync.Once
-	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	node := httptest.NewServer(packer.New().Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == RevokePath {
 			<-begun
 			w.Header().Set(StateHeader, string(registrar.Answered))
@@ -136,9 +137,9 @@
 		w.Header().Set(labeler.Outcome, fireflymoor.Answered.String())
 		w.Header().Set("Content-Length", "10")
 		write(w)
-	}))
+	})))
 	defer node.Close()
-	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())))
+	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())), packer.New())
 	request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
 	request.Header.Set(labeler.CallID, "call")
 	request.Header.Set(labeler.Once, "yes")
--- a/internal/labeler/dialect.go
+++ b/internal/labeler/dialect.go
@@ -19,6 +19,11 @@
 	return dialect{}
 }
 
+// Common implements fireflymoor.Dialect.
+func (dialect) Common() []string {
+	return nil
+}
+
 // ReadCall implements fireflymoor.Dialect.
 func (dialect) ReadCall(header http.Header) (fireflymoor.CallHead, error) {
 	text := header.Get(Deadline)
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -24,7 +24,7 @@
 func Refuse(w http.ResponseWriter, status int, outcome fireflymoor.Outcome, reason string) {
 	w.Header().Set(labeler.Outcome, outcome.String())
 	w.Header().Set(labeler.Reason, OneLine(reason))
-	http.Error(w, outcome.String()+": "+reason, status)
+	w.WriteHeader(status)
 }
 
 // OneLine returns text as it may stand in a header.
@@ -48,6 +48,9 @@
 // on as whole: the connection is aborted.
 func Copy(w http.ResponseWriter, response *http.Response) {
 	copyHeader(w.Header(), response.Header)
+	if _, ok := response.Header["Content-Type"]; !ok {
+		w.Header()["Content-Type"] = nil // the server would guess one
+	}
 	if response.ContentLength >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
--- a/internal/runner/call_test.go
+++ b/internal/runner/call_test.go
@@ -23,6 +23,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/labeler"
 	"github.com/fireflymoor/fireflymoor/internal/limiter"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/packer"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
@@ -64,11 +65,12 @@
 		Slots:   1000,
 	}, time.Now())
 	local := target.NewServer(registry, labeler.NewDialect(), dial)
-	far := serveBench(b, receiver.New(func(boot uint64) bool { return boot == 1 }, local, registrar.New(), log))
-	full := serveBench(b, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	packing := packer.New()
+	far := serveBench(b, packing.Handler(receiver.New(func(boot uint64) bool { return boot == 1 }, local, registrar.New(), log)))
+	full := serveBench(b, packing.Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
 		receiver.Refuse(w, http.StatusServiceUnavailable, fireflymoor.NotRun, limiter.ErrFull.Error())
-	}))
+	})))
 	handler := func(node, address string) http.Handler {
 		return caller.New(caller.Options{
 			Node:    node,
@@ -77,7 +79,7 @@
 				view: benchView(address),
 			},
 			Balancer:  balancer.NewTwoChoices(),
-			Forwarder: forwarder.New(node, local, forwarder.NewRemote(dial)),
+			Forwarder: forwarder.New(node, local, forwarder.NewRemote(dial, packing)),
 			Tracker:   tracker.New("node", "zone"),
 			Ejector:   ejector.New(),
 			Budget:    retrier.NewBudget(),
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -21,6 +21,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/forwarder"
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/packer"
 	"github.com/fireflymoor/fireflymoor/internal/platform"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
@@ -52,6 +53,7 @@
 	reports  *reports
 	targets  *target.Registry
 	tracker  *tracker.Tracker
+	packer   *packer.Packer
 	remote   *forwarder.Remote
 	claims   *claims
 	view     atomic.Pointer[fireflymoor.View]
@@ -81,9 +83,10 @@
 		applier: applier.New(settings.Team, renderer.New(parser.New()), m.asserter),
 		reports: newReports(settings.Zone, settings.Name),
 		tracker: tracker.New(settings.Name, settings.Zone),
-		remote:  forwarder.NewRemote(m.dialer),
+		packer:  packer.New(m.dialect().Common()...),
 		claims:  newClaims(settings, m.client),
 	}
+	n.remote = forwarder.NewRemote(m.dialer, n.packer)
 	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
 	n.view.Store(&empty)
 	n.targets = target.NewRegistry(settings.Name, settings.Lease, m.log, n.targetsChanged)
@@ -119,7 +122,7 @@
 	n.callers.Protocols = &http.Protocols{}
 	n.callers.Protocols.SetHTTP1(true)
 	n.callers.Protocols.SetUnencryptedHTTP2(true)
-	n.calls = server(receiver.New(n.coordinator.IsBoot, local, registrar.New(), n.bounded()))
+	n.calls = server(n.packer.Handler(receiver.New(n.coordinator.IsBoot, local, registrar.New(), n.bounded())))
 	n.platform = server(platform.NewHandler(n.registry, n.unready, n.targets))
 	if n.adapter != nil {
 		n.ready = server(n.adapter.Ready(n.unready))
--- a/internal/sender/transport.go
+++ b/internal/sender/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fireflymoor/fireflymoor/internal/packer"
 )
 
 const (
@@ -35,6 +38,8 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	idle time.Duration
 	own  func(request, answer http.Header) bool
+	// packer is nil if headers travel as they are.
+	packer *packer.Packer
 
 	lock     sync.Mutex
 	conns    map[string][]*conn
@@ -53,6 +58,14 @@
 	}
 }
 
+// WithPacker has a Transport send and expect packed headers. The requests and
+// answers of its callers bear them in full.
+func WithPacker(packer *packer.Packer) Option {
+	return func(t *Transport) {
+		t.packer = packer
+	}
+}
+
 // NewTransport returns a new Transport over connections that dial opens. One
 // that has been idle for longer than idle, or than its peer said, is not used
 // again. With an idle time of 0 none is kept.
@@ -78,7 +91,7 @@
 		return nil, errors.Mark(err, errNotSent)
 	}
 	stop := context.AfterFunc(ctx, c.abort)
-	c.send(request)
+	c.send(t.packed(request))
 	response, err := t.read(c, request)
 	if err != nil {
 		stop()
@@ -102,6 +115,17 @@
 	return response, nil
 }
 
+// packed returns a request as it is written.
+func (t *Transport) packed(request *http.Request) *http.Request {
+	if t.packer == nil {
+		return request
+	}
+	packed := *request
+	packed.Header = maps.Clone(request.Header)
+	t.packer.Pack(packed.Header)
+	return &packed
+}
+
 // NotSent says whether nothing of a request had been sent when it failed.
 func NotSent(err error) bool {
 	return errors.Is(err, errNotSent)
@@ -114,6 +138,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if t.packer != nil {
+			t.packer.Unpack(response.Header)
+		}
 		if t.own(request.Header, response.Header) {
 			return response, nil
 		}
