Count nested calls' share by slots held, and try a full service less

Change: nested calls may hold half of the slots while others wait, whatever their length (TestShortNestedCallsAreServed; TestNestedCallsLeaveAShare asks for half of the slots in place of a third, with bounds as far apart as before). A call tries one to three targets, by the part of the recent tries at its service that was refused (TestPressure, TestFullServiceIsNotTriedAllOver). A slot is free once its answer has been read, not once its caller's link has taken it (TestSlotEndsWithAnswer).

Ruled out: calls that return with less time than the work takes.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -33,7 +33,8 @@
 
 const (
 	// mostTries bounds the tries of one call at targets' nodes, most of which
-	// may refuse it: each costs the way there and back.
+	// may refuse it: each costs the way there and back. Fewer are made while
+	// most tries are refused.
 	mostTries = 3
 	// nestedRank is the rank of the calls that running calls make: their
 	// parents hold slots while these wait.
@@ -75,14 +76,16 @@
 
 // A Handler is the HTTP handler for callers.
 type Handler struct {
-	options Options
-	tries   atomic.Uint64
+	options  Options
+	tries    atomic.Uint64
+	pressure *retrier.Pressure
 }
 
 // New returns a new Handler.
 func New(options Options) *Handler {
 	return &Handler{
-		options: options,
+		options:  options,
+		pressure: retrier.NewPressure(),
 	}
 }
 
@@ -235,6 +238,7 @@
 	c.request.Body, c.request.ContentLength = c.body.reader()
 	c.label(now)
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
+	h.pressure.Note(c.service.Name, outcome == fireflymoor.NotRun && errors.Is(err, fireflymoor.ErrBusy))
 	if err != nil {
 		end()
 		h.failed(ctx, c, pick.Target, outcome, err)
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -30,8 +30,9 @@
 	if arrived {
 		c.arrivals++
 	}
+	tries := h.pressure.Tries(c.service.Name, mostTries)
 	switch {
-	case errors.Is(err, errNoTarget), c.arrivals > c.route.Retries, len(c.tried) >= mostTries, !repeatable, ctx.Err() != nil:
+	case errors.Is(err, errNoTarget), c.arrivals > c.route.Retries, len(c.tried) >= tries, !repeatable, ctx.Err() != nil:
 		return false
 	case !c.body.replayable():
 		h.options.Log.Info().Str("call", c.id).Err(errBodySpent).Msg("caller: no retry")
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -40,10 +40,11 @@
 	// before any call has ended: operators set a route's objective to some
 	// times the work.
 	guessedHold = 3
-	// nestedStreak is the number of slots in a row that go to nested calls, of
-	// ranks below 0, while others wait. Their parents hold slots elsewhere, but
-	// these are not always the most urgent calls.
-	nestedStreak = 2
+	// nestedShare is the part of the slots that nested calls, of ranks below 0,
+	// may hold while others wait. Their parents hold slots elsewhere, but these
+	// are not always the most urgent calls. It is of the slots held, not of those
+	// handed out: nested calls are short.
+	nestedShare = 2
 	// drainWait is how long a call may still wait when its target begins to
 	// drain. A target takes work for some two seconds after.
 	drainWait = 1500 * time.Millisecond
@@ -72,8 +73,8 @@
 	// and holdOf is the same for the calls of each rank.
 	hold   time.Duration
 	holdOf map[int]time.Duration
-	// streak is the number of slots that went to nested calls in a row.
-	streak   int
+	// nested is the number of slots that nested calls hold.
+	nested   int
 	draining bool
 	idle     chan struct{}
 }
@@ -107,7 +108,7 @@
 		return ErrDraining
 	}
 	if l.inFlight < l.slots {
-		l.inFlight++
+		l.take(ticket.Rank)
 		l.lock.Unlock()
 		return nil
 	}
@@ -153,7 +154,7 @@
 	}
 	err := <-w.result
 	if err == nil && ctx.Err() != nil {
-		l.release()
+		l.release(w.rank)
 		return ErrDeadline
 	}
 	return err
@@ -165,7 +166,7 @@
 	defer l.lock.Unlock()
 	l.hold = average(l.hold, held)
 	l.holdOf[ticket.Rank] = average(l.holdOf[ticket.Rank], held)
-	l.release()
+	l.release(ticket.Rank)
 }
 
 // average moves an average towards the newest value.
@@ -176,8 +177,19 @@
 	return before + time.Duration(holdShare*float64(newest-before))
 }
 
-func (l *Limiter) release() {
+// take gives a slot to a call of a rank.
+func (l *Limiter) take(rank int) {
+	l.inFlight++
+	if rank < 0 {
+		l.nested++
+	}
+}
+
+func (l *Limiter) release(rank int) {
 	l.inFlight--
+	if rank < 0 {
+		l.nested--
+	}
 	l.wake()
 	if l.draining && l.inFlight == 0 && len(l.waiting) == 0 {
 		l.close()
@@ -194,7 +206,7 @@
 			w.result <- &fireflymoor.BusyError{}
 			continue
 		}
-		l.inFlight++
+		l.take(w.rank)
 		w.result <- nil
 	}
 }
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -92,7 +92,12 @@
 			others++
 		}
 	}
-	return min(len(ahead), others*(nestedStreak+1)+nestedStreak)
+	return others + min(len(ahead)-others, l.nestedMost())
+}
+
+// nestedMost returns how many slots nested calls may hold while others wait.
+func (l *Limiter) nestedMost() int {
+	return max(l.slots/nestedShare, 1)
 }
 
 // waitAt returns how long a call at a place in the queue is likely to wait.
@@ -125,14 +130,10 @@
 // next takes the call out of the queue that gets the next slot.
 func (l *Limiter) next() *waiter {
 	at := 0
-	if l.streak >= nestedStreak {
+	if l.nested >= l.nestedMost() {
 		at = max(0, slices.IndexFunc(l.waiting, func(w *waiter) bool { return w.rank >= 0 }))
 	}
 	w := l.waiting[at]
 	l.waiting = slices.Delete(l.waiting, at, at+1)
-	l.streak++
-	if w.rank >= 0 {
-		l.streak = 0
-	}
 	return w
 }
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -97,6 +97,7 @@
 	}
 	response.Body = &releasingBody{
 		ReadCloser: response.Body,
+		left:       response.ContentLength,
 		release:    release,
 	}
 	return response, fireflymoor.Answered, nil
@@ -149,13 +150,28 @@
 	return max(time.Until(at), 0)
 }
 
-// releasingBody gives the slot back once the answer has been read or left.
+// releasingBody gives the slot back once the answer has been read or left: the
+// target is done then, however long its caller's link takes.
 type releasingBody struct {
 	io.ReadCloser
+	// left is the number of bytes to come, or below 0 if that is not known.
+	left    int64
 	release func()
 	once    sync.Once
 }
 
+// Read implements io.Reader.
+func (b *releasingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.left >= 0 {
+		b.left -= int64(n)
+	}
+	if err != nil || b.left == 0 {
+		b.once.Do(b.release)
+	}
+	return n, err
+}
+
 // Close implements io.Closer.
 func (b *releasingBody) Close() error {
 	b.once.Do(b.release)
