--- a/cmd/fireflymoor/main.go
+++ b/cmd/fireflymoor/main.go
@@ -87,6 +87,10 @@
 }
 
 func run(ctx context.Context, path, role string, options []runner.Option) error {
+	// A SIGHUP that nobody takes ends the process, also while it starts.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	settings, err := loader.Load(path)
 	if err != nil {
 		return err
@@ -98,31 +102,24 @@
 	if err != nil {
 		return err
 	}
-	defer reloadOnHangup(ctx, process, path)()
+	if reloader, ok := process.(fireflymoor.Reloader); ok {
+		go reloadOnHangup(ctx, reloader, path, hangups)
+	}
 	return process.Run(ctx)
 }
 
-// reloadOnHangup has a process read its settings again at each SIGHUP, until
-// the returned function is called.
-func reloadOnHangup(ctx context.Context, process fireflymoor.Process, path string) (stop func()) {
-	reloader, ok := process.(fireflymoor.Reloader)
-	if !ok {
-		return func() {}
-	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-hangups:
-				// The reloader logs what is wrong: the settings before stay.
-				_ = reloader.Reload(path)
-			}
+// reloadOnHangup has a process read its settings again at each hangup, until
+// ctx ends.
+func reloadOnHangup(ctx context.Context, process fireflymoor.Reloader, path string, hangups <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			// The reloader logs what is wrong: the settings before stay.
+			_ = process.Reload(path)
 		}
-	}()
-	return func() { signal.Stop(hangups) }
+	}
 }
 
 func newProcess(settings loader.Settings, out io.Writer, options ...runner.Option) (fireflymoor.Process, error) {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -40,9 +40,8 @@
 // the own instance while it has a slot and is not slower than others. Else it
 // takes two random targets of the own availability zone and picks the one that
 // costs less, and spills over to other zones when the zone is full or much
-// slower. What a
-// target costs is by the proxy's own calls, how many and how long; the load
-// that the target tells is a hint.
+// slower. What a target costs is by the proxy's own calls, how many and how
+// long; the load that the target tells is a hint.
 func NewTwoChoices() fireflymoor.Balancer {
 	return twoChoices{}
 }
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -36,9 +36,14 @@
 	"Date":           'z',
 }
 
-// firstCommon is the letter of the first of the dialect's headers. They count
-// up from it.
-const firstCommon = 'A'
+const (
+	// firstCommon is the letter of the first of the dialect's headers. They
+	// count up from it, to Z.
+	firstCommon = 'A'
+	mostCommon  = 'Z' - firstCommon + 1
+	// usualField is what a field takes in most calls, in bytes.
+	usualField = 16
+)
 
 // A Packer packs the headers of requests and answers between nodes. All nodes
 // must be made with the same names.
@@ -47,8 +52,8 @@
 	names   map[byte]string
 }
 
-// New returns a new Packer that knows, beside the system's own headers, those
-// of the names, at most 26 in canonical form.
+// New returns a new Packer that knows, beside the system's own headers, the
+// first 26 of the names, which are in canonical form.
 func New(names ...string) *Packer {
 	p := &Packer{
 		letters: map[string]byte{},
@@ -57,7 +62,7 @@
 	for name, letter := range letters {
 		p.add(name, letter)
 	}
-	for i, name := range names {
+	for i, name := range names[:min(len(names), mostCommon)] {
 		p.add(name, firstCommon+byte(i))
 	}
 	return p
@@ -72,7 +77,7 @@
 // several values, or with a tab in its value, stays as it is.
 func (p *Packer) Pack(header http.Header) {
 	delete(header, Header)
-	packed := make([]byte, 0, len(header)*16)
+	packed := make([]byte, 0, len(header)*usualField)
 	for name, values := range header {
 		letter, known := p.letters[name]
 		if !known || len(values) != 1 || strings.Contains(values[0], separator) {
