--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -1,6 +1,6 @@
 // Package packer gathers the headers that most calls between nodes bear in one
-// short header. An instance's link is thin: without it they are half of what a
-// call of some hundred bytes costs.
+// short header. An instance's link is thin, and their names are longer than
+// their values.
 package packer
 
 import (
