--- a/internal/disturber/disturber.go
+++ b/internal/disturber/disturber.go
@@ -11,6 +11,7 @@
 
 	"github.com/fireflymoor/fireflymoor/internal/launcher"
 	"github.com/fireflymoor/fireflymoor/internal/relayer"
+	"github.com/fireflymoor/fireflymoor/internal/waiter"
 )
 
 const (
@@ -89,7 +90,7 @@
 
 func (d *Disturber) disturb(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
-		pause(ctx, leastPause+time.Duration(random.Int64N(int64(pauseSpread))))
+		waiter.Pause(ctx, leastPause+time.Duration(random.Int64N(int64(pauseSpread))))
 		f := faults[random.IntN(len(faults))]
 		hold := leastHold + time.Duration(random.Int64N(int64(holdSpread)))
 		what, undo := f.begin(d, random)
@@ -98,18 +99,11 @@
 		}
 		d.count(f.name)
 		d.options.Tell(fmt.Sprintf("%s of %s for %s", f.name, what, hold.Round(time.Millisecond)))
-		pause(ctx, hold)
+		waiter.Pause(ctx, hold)
 		undo()
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (d *Disturber) count(name string) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/packer"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
+	"github.com/fireflymoor/fireflymoor/internal/waiter"
 )
 
 const (
@@ -183,7 +184,7 @@
 		r, err := f.ask(ctx, target, id)
 		if err == nil && r.state != registrar.Running {
 			if r.sent() {
-				pause(ctx, transit)
+				waiter.Pause(ctx, transit)
 			}
 			if !settled.CompareAndSwap(false, true) {
 				return
@@ -193,7 +194,7 @@
 			cancel(errResolved)
 			return
 		}
-		pause(ctx, wait)
+		waiter.Pause(ctx, wait)
 		wait = min(2*wait, lastAskAgain)
 	}
 }
@@ -209,19 +210,11 @@
 		case err == nil:
 			return conclude(r, cause)
 		}
-		pause(ctx, askAgain)
+		waiter.Pause(ctx, askAgain)
 	}
 	return nil, fireflymoor.Unknown, errors.Wrap(cause, "forwarder: the target's node is not reached")
 }
 
-// pause waits, at most until the context ends.
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
-
 func conclude(r resolution, cause error) (*http.Response, fireflymoor.Outcome, error) {
 	switch r.state {
 	case registrar.Refused, registrar.NotRun:
--- a/internal/runner/claims.go
+++ b/internal/runner/claims.go
@@ -13,6 +13,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/neighbour"
+	"github.com/fireflymoor/fireflymoor/internal/waiter"
 )
 
 const (
@@ -78,13 +79,13 @@
 func (c *claims) complete(ctx context.Context, log zerolog.Logger) {
 	began := time.Now()
 	wait := firstSyncWait
-	sleep(ctx, claimer.GrantTime)
+	waiter.Pause(ctx, claimer.GrantTime)
 	for ctx.Err() == nil {
 		if c.table.Complete(time.Now()) || c.claimer.Sync(ctx, c.table) {
 			log.Info().Int("claims", c.table.Len()).Dur("took", time.Since(began)).Msg("claims: complete")
 			return
 		}
-		sleep(ctx, jitter(wait))
+		waiter.Pause(ctx, jitter(wait))
 		wait = min(2*wait, c.window/syncWaitShare)
 	}
 }
--- a/internal/runner/founder.go
+++ b/internal/runner/founder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/waiter"
 )
 
 const (
@@ -28,7 +29,7 @@
 	if !c.settings.Founding || turn < 0 {
 		return
 	}
-	sleep(ctx, time.Duration(turn)*foundTurn)
+	waiter.Pause(ctx, time.Duration(turn)*foundTurn)
 	for ctx.Err() == nil && c.blank(ctx) {
 		err := c.controller.Bootstrap(ctx, c.asMember(), len(seeds), func(ctx context.Context) ([]*messenger.Identity, error) {
 			return c.identifyAll(ctx, seeds)
@@ -38,7 +39,7 @@
 			return
 		}
 		c.log.Info().Err(err).Msg("control: the first log cannot be started yet")
-		sleep(ctx, foundInterval)
+		waiter.Pause(ctx, foundInterval)
 	}
 }
 
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -26,6 +26,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/neighbour"
 	"github.com/fireflymoor/fireflymoor/internal/sequencer"
+	"github.com/fireflymoor/fireflymoor/internal/waiter"
 )
 
 const (
@@ -145,7 +146,7 @@
 // closeIdle closes the connections that no call uses, until ctx ends.
 func (m *member) closeIdle(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, idleInterval)
+		waiter.Pause(ctx, idleInterval)
 		m.client.Expire()
 	}
 }
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -28,6 +28,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
+	"github.com/fireflymoor/fireflymoor/internal/waiter"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
 	"github.com/fireflymoor/fireflymoor/pkg/renderer"
 )
@@ -354,7 +355,7 @@
 			if err == nil && later == 0 {
 				return
 			}
-			sleep(ctx, max(jitter(confirmWait), later))
+			waiter.Pause(ctx, max(jitter(confirmWait), later))
 		}
 	}
 }
