Run what both roles have in one place

node.Run and control.Run had the same steps around their own parts: contexts, the sequencer, the overlay, idle connections, and the order of the end.

--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -160,30 +160,20 @@
 // Run implements fireflymoor.Process.
 func (c *control) Run(ctx context.Context) error {
 	defer c.close()
-	working, stop := context.WithCancel(context.WithoutCancel(ctx))
-	controlling, stopControl := context.WithCancel(context.WithoutCancel(ctx))
-	var group sync.WaitGroup
-	var sequence sync.WaitGroup
-	sequence.Go(func() { c.sequencer.Run(controlling) })
-	c.serveOverlay(working, &group, c.mux())
-	c.serve(&group, c.operators, c.settings.Operators)
-	c.serve(&group, c.platform, c.settings.Platform)
-	group.Go(func() { c.coordinator.Run(working) })
+	c.run(ctx, c.mux(), c.start, func() { c.shutdown(c.operators, c.platform) })
+	c.log.Info().Msg("process: control replica ended")
+	return c.keeper.Close()
+}
+
+// start starts the parts that only a replica has.
+func (c *control) start(working context.Context, group *sync.WaitGroup) {
+	c.serve(group, c.operators, c.settings.Operators)
+	c.serve(group, c.platform, c.settings.Platform)
 	group.Go(func() { c.controller.Run(working) })
 	group.Go(func() { c.transport.Run(working) })
-	group.Go(func() { c.closeIdle(working) })
 	group.Go(func() { c.sequencer.Every(working, followInterval, c.follow) })
 	group.Go(func() { c.found(working) })
 	c.log.Info().Str("zone", c.settings.Zone).Str("disk", c.keeper.Disk()).Msg("process: control replica started")
-	<-ctx.Done()
-	c.shutdown(c.operators, c.platform)
-	stop()
-	group.Wait()
-	stopControl()
-	sequence.Wait()
-	c.client.Close()
-	c.log.Info().Msg("process: control replica ended")
-	return c.keeper.Close()
 }
 
 func (c *control) mux() *drpcmux.Mux {
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -191,6 +191,29 @@
 	}
 }
 
+// run serves until ctx ends. Start starts the process's own parts, which work
+// until their context ends, and leave gives up its place first. The sequencer
+// goes on until all else has ended: they post to it.
+func (m *member) run(ctx context.Context, mux *drpcmux.Mux, start func(working context.Context, group *sync.WaitGroup), leave func()) {
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	sequencing, stopSequencer := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopSequencer()
+	var group, sequence sync.WaitGroup
+	sequence.Go(func() { m.sequencer.Run(sequencing) })
+	m.serveOverlay(working, &group, mux)
+	group.Go(func() { m.coordinator.Run(working) })
+	group.Go(func() { m.closeIdle(working) })
+	start(working, &group)
+	<-ctx.Done()
+	leave()
+	stop()
+	group.Wait()
+	stopSequencer()
+	sequence.Wait()
+	m.client.Close()
+}
+
 // serveOverlay answers the other processes until ctx ends.
 func (m *member) serveOverlay(ctx context.Context, group *sync.WaitGroup, mux *drpcmux.Mux) {
 	group.Go(func() {
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -173,36 +173,26 @@
 // Run implements fireflymoor.Process.
 func (n *node) Run(ctx context.Context) error {
 	defer n.close()
-	working, stop := context.WithCancel(context.WithoutCancel(ctx))
-	controlling, stopControl := context.WithCancel(context.WithoutCancel(ctx))
-	var group sync.WaitGroup
-	var control sync.WaitGroup
-	control.Go(func() { n.sequencer.Run(controlling) })
-	n.serveOverlay(working, &group, n.mux())
-	n.serve(&group, n.callers, n.settings.Callers)
-	n.serve(&group, n.calls, n.settings.Calls)
-	n.serve(&group, n.platform, n.settings.Platform)
+	n.run(ctx, n.mux(), n.start, n.leave)
+	n.log.Info().Msg("process: node ended")
+	return nil
+}
+
+// start starts the parts that only a node has.
+func (n *node) start(working context.Context, group *sync.WaitGroup) {
+	n.serve(group, n.callers, n.settings.Callers)
+	n.serve(group, n.calls, n.settings.Calls)
+	n.serve(group, n.platform, n.settings.Platform)
 	if n.adapter != nil {
-		n.serve(&group, n.ready, n.settings.Ready)
-		n.serve(&group, n.announcements, n.settings.Announcements)
+		n.serve(group, n.ready, n.settings.Ready)
+		n.serve(group, n.announcements, n.settings.Announcements)
 	}
-	group.Go(func() { n.coordinator.Run(working) })
 	group.Go(func() { n.confirm(working) })
 	group.Go(func() { n.sequencer.Every(working, reportInterval, func() { n.report(working) }) })
 	group.Go(func() { n.expireLeases(working) })
-	group.Go(func() { n.closeIdle(working) })
 	group.Go(func() { n.sequencer.Every(working, ringInterval, n.thinRing) })
 	group.Go(func() { n.claims.complete(working, n.log) })
 	n.log.Info().Str("zone", n.settings.Zone).Str("team", n.settings.Team).Msg("process: node started")
-	<-ctx.Done()
-	n.leave()
-	stop()
-	group.Wait()
-	stopControl()
-	control.Wait()
-	n.client.Close()
-	n.log.Info().Msg("process: node ended")
-	return nil
 }
 
 // leave gives up the node's place without cutting a call. Its callers are told
