--- a/cmd/fireflybench/soak.go
+++ b/cmd/fireflybench/soak.go
@@ -61,17 +61,25 @@
 	Violations []string       `json:"violations"`
 }
 
-// Run runs the command. It plays all seeds, also after one that failed.
+// Run runs the command. It plays all seeds, also after one that failed, unless
+// it is told to stop.
 func (c *soakCommand) Run(ctx context.Context) error {
 	var all error
+	var results []soakResult
 	for i := range c.Seeds {
-		all = errors.CombineErrors(all, c.play(ctx, c.Seed+uint64(i)))
+		if ctx.Err() != nil {
+			all = errors.CombineErrors(all, errors.Wrapf(ctx.Err(), "soak: stopped before seed %d", c.Seed+uint64(i)))
+			break
+		}
+		result, err := c.play(ctx, c.Seed+uint64(i))
+		all = errors.CombineErrors(all, err)
+		results = append(results, result)
 	}
-	return all
+	return errors.CombineErrors(all, writeJSON(c.Output, results))
 }
 
 // play makes one run on a system of its own.
-func (c *soakCommand) play(ctx context.Context, seed uint64) error {
+func (c *soakCommand) play(ctx context.Context, seed uint64) (soakResult, error) {
 	relay := relayer.New()
 	serving, stop := context.WithCancel(ctx)
 	defer stop()
@@ -90,11 +98,15 @@
 		},
 	})
 	if err != nil {
-		return err
+		return soakResult{
+			Seed: seed,
+		}, err
 	}
 	if err := f.untilKeys(ctx); err != nil {
 		f.end(c.Keep)
-		return err
+		return soakResult{
+			Seed: seed,
+		}, err
 	}
 	run := &soak{
 		command: c,
@@ -118,9 +130,9 @@
 	run.checkLogs()
 	f.end(c.Keep)
 	if err != nil {
-		return err
+		return run.result, err
 	}
-	return run.report()
+	return run.result, run.report()
 }
 
 // soak is one run.
@@ -287,9 +299,6 @@
 	for _, v := range result.Violations {
 		fmt.Println("VIOLATION:", v)
 	}
-	if err := writeJSON(r.command.Output, result); err != nil {
-		return err
-	}
 	if len(result.Violations) > 0 {
 		return errors.Newf("soak: seed %d: %d violations", result.Seed, len(result.Violations))
 	}
--- a/internal/disturber/disturber.go
+++ b/internal/disturber/disturber.go
@@ -140,8 +140,8 @@
 	}
 }
 
-// harm notes that a process is killed or stands still, until it is released.
-func (d *Disturber) harm(p *launcher.Process) {
+// beginHarm notes that a process is killed or stands still, until it is released.
+func (d *Disturber) beginHarm(p *launcher.Process) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.harms = append(d.harms, harm{
--- a/internal/disturber/fault.go
+++ b/internal/disturber/fault.go
@@ -65,7 +65,7 @@
 		if p == nil {
 			return "", nil
 		}
-		d.harm(p)
+		d.beginHarm(p)
 		p.Kill()
 		return p.Name, func() { d.restart(p) }
 	}
@@ -79,7 +79,7 @@
 			return "", nil
 		}
 		times := 2 + random.IntN(mostInARow-1)
-		d.harm(p)
+		d.beginHarm(p)
 		for range times {
 			p.Kill()
 			if err := d.options.Cluster.Restart(p); err != nil {
@@ -97,7 +97,7 @@
 		if p == nil {
 			return "", nil
 		}
-		d.harm(p)
+		d.beginHarm(p)
 		p.Signal(syscall.SIGSTOP)
 		return p.Name, func() {
 			p.Signal(syscall.SIGCONT)
@@ -140,7 +140,7 @@
 		d.release(p)
 		return "", nil
 	}
-	d.harm(p)
+	d.beginHarm(p)
 	p.Kill()
 	if err := os.RemoveAll(d.options.Cluster.DataFolder(p.Name)); err != nil {
 		d.options.Tell(err.Error())
@@ -154,7 +154,7 @@
 	var herd []*launcher.Process
 	for _, p := range d.options.Nodes {
 		if launcher.ZoneOf(p.IP) == zone && d.claim(p) {
-			d.harm(p)
+			d.beginHarm(p)
 			p.Kill()
 			herd = append(herd, p)
 		}
