Compare how long calls take by route, and take rested targets as usual

Cause: a proxy among 64 calls each of 35 targets about once a second. What a target's latency counted was halved every 2 s without a call, so that the least of them, which the others were compared with, fell to nothing: a target in use looked many times slower than one that had rested. Nested calls of 70 ms and calls of 370 ms at one target were one average too. Ruled out: that the own instance was full (waits for a slot there were 0 ms in the median).

Each call now counts as a multiple of what is usual on its route, and a target that rests comes back to usual.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -54,21 +54,20 @@
 	if len(candidates) == 1 {
 		return pick(&candidates[0], ReasonOnly), true
 	}
-	base := leastLatency(candidates)
-	near := lowerOfTwo(candidates, true, false, base)
-	far := lowerOfTwo(candidates, false, false, base)
-	if own := ownWithSlot(candidates); own != nil && stays(own, near, base) && stays(own, far, base) {
+	near := lowerOfTwo(candidates, true, false)
+	far := lowerOfTwo(candidates, false, false)
+	if own := ownWithSlot(candidates); own != nil && stays(own, near) && stays(own, far) {
 		return pick(own, ReasonOwn), true
 	}
 	switch {
-	case near != nil && (far == nil || delay(near, base) <= farCost*delay(far, base)):
+	case near != nil && (far == nil || delay(near) <= farCost*delay(far)):
 		return pick(near, ReasonLocal), true
 	case far != nil:
 		return pick(far, ReasonSpill), true
 	}
-	near = lowerOfTwo(candidates, true, true, base)
-	far = lowerOfTwo(candidates, false, true, base)
-	if near == nil || (far != nil && cost(far, base) < cost(near, base)) {
+	near = lowerOfTwo(candidates, true, true)
+	far = lowerOfTwo(candidates, false, true)
+	if near == nil || (far != nil && cost(far) < cost(near)) {
 		near = far
 	}
 	return pick(near, ReasonFull), true
@@ -93,31 +92,19 @@
 
 // stays says whether a call should stay in the own instance rather than go to
 // another target, which may be nil.
-func stays(own, other *fireflymoor.Candidate, base time.Duration) bool {
-	return other == nil || delay(own, base) <= ownCost*delay(other, base)
-}
-
-// leastLatency returns the least latency that is known, or 0.
-func leastLatency(candidates []fireflymoor.Candidate) time.Duration {
-	least := time.Duration(0)
-	for i := range candidates {
-		latency := candidates[i].Latency
-		if latency > 0 && (least == 0 || latency < least) {
-			least = latency
-		}
-	}
-	return least
+func stays(own, other *fireflymoor.Candidate) bool {
+	return other == nil || delay(own) <= ownCost*delay(other)
 }
 
 // lowerOfTwo returns the one that costs less of two random candidates that
 // are, or are not, local and full.
-func lowerOfTwo(candidates []fireflymoor.Candidate, local, full bool, base time.Duration) *fireflymoor.Candidate {
+func lowerOfTwo(candidates []fireflymoor.Candidate, local, full bool) *fireflymoor.Candidate {
 	first := choose(candidates, local, full, -1)
 	if first < 0 {
 		return nil
 	}
 	second := choose(candidates, local, full, first)
-	if second >= 0 && cost(&candidates[second], base) < cost(&candidates[first], base) {
+	if second >= 0 && cost(&candidates[second]) < cost(&candidates[first]) {
 		first = second
 	}
 	return &candidates[first]
@@ -153,26 +140,18 @@
 	return max(float64(c.InFlight)/float64(max(c.Target.Slots, 1)), c.Load)
 }
 
-// delay is how long a call takes at a target in proportion to the others. As
-// long as a target has free slots, the calls in them do not hold up one more.
-func delay(c *fireflymoor.Candidate, base time.Duration) float64 {
-	latency := 1.0
-	if c.Latency > 0 {
-		latency = float64(c.Latency) / float64(base)
-	}
-	return latency * max(used(c), 1) / max(c.Weight, leastWeight)
+// delay is how long a call takes at a target in proportion to what is usual.
+// As long as a target has free slots, the calls in them do not hold up one
+// more.
+func delay(c *fireflymoor.Candidate) float64 {
+	return c.Slowness * max(used(c), 1) / max(c.Weight, leastWeight)
 }
 
 // cost is the time that one more call would take at a target in proportion to
-// the others: its latency, times the calls that share its slots. A target
-// that is not known yet is taken to be as fast as the fastest.
-func cost(c *fireflymoor.Candidate, base time.Duration) float64 {
-	latency := 1.0
-	if c.Latency > 0 {
-		latency = float64(c.Latency) / float64(base)
-	}
+// what is usual: the target's slowness, times the calls that share its slots.
+func cost(c *fireflymoor.Candidate) float64 {
 	share := float64(c.InFlight+1) / float64(max(c.Target.Slots, 1))
-	return latency * share * (1 + c.Load) / max(c.Weight, leastWeight)
+	return c.Slowness * share * (1 + c.Load) / max(c.Weight, leastWeight)
 }
 
 type roundRobin struct {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -17,16 +17,17 @@
 	// full is the load of a target that refused a call: more wait there than it
 	// takes.
 	full = 2.0
-	// latencyShare is the share of the newest call in a target's latency.
+	// latencyShare is the share of the newest call in a target's latency and
+	// slowness.
 	latencyShare = 0.2
 	// A target is stalled if at least stallCalls calls are there and none has
 	// come back for stallFactor times their latency, and for stallLeast.
 	stallCalls  = 2
 	stallFactor = 4
 	stallLeast  = 150 * time.Millisecond
-	// latencyHalfLife is the time without calls after which a target is
-	// taken to be twice as fast, so that one that was slow is tried again.
-	latencyHalfLife = 2 * time.Second
+	// slownessHalfLife is the time without calls after which a target is taken
+	// to be half as far from usual, so that one that was slow is tried again.
+	slownessHalfLife = 2 * time.Second
 )
 
 // A Tracker tracks targets by id and boot.
@@ -34,6 +35,7 @@
 	node    string
 	zone    string
 	entries sync.Map
+	usual   *usual
 }
 
 type key struct {
@@ -47,6 +49,8 @@
 	load     atomic.Uint64
 	loadAt   atomic.Int64
 	latency  atomic.Int64
+	// slowness is a float64, and 0 before any call has come back.
+	slowness atomic.Uint64
 	tookAt   atomic.Int64
 	// moved is when a call last came back, or when the first of those that are
 	// there went.
@@ -56,8 +60,9 @@
 // New returns a new Tracker for the proxy of a node in a zone.
 func New(node, zone string) *Tracker {
 	return &Tracker{
-		node: node,
-		zone: zone,
+		node:  node,
+		zone:  zone,
+		usual: newUsual(),
 	}
 }
 
@@ -102,27 +107,42 @@
 	t.entry(target, now).setLoad(full, now)
 }
 
-// Answered notes how long a call to a target took.
-func (t *Tracker) Answered(target fireflymoor.Target, took time.Duration, now time.Time) {
+// Answered notes how long a call of a route to a target took.
+func (t *Tracker) Answered(target fireflymoor.Target, route string, took time.Duration, now time.Time) {
 	e := t.entry(target, now)
 	e.moved.Store(now.UnixNano())
-	before := e.latency.Load()
-	next := int64(took)
-	if before > 0 {
-		next = int64(float64(before)*(1-latencyShare) + float64(took)*latencyShare)
+	latency := float64(took)
+	if before := e.latency.Load(); before > 0 {
+		latency = blend(float64(before), latency)
 	}
-	e.latency.Store(next)
+	e.latency.Store(int64(latency))
+	slowness := t.usual.note(route, took)
+	if e.slowness.Load() > 0 {
+		slowness = blend(e.slownessNow(now), slowness)
+	}
+	e.slowness.Store(math.Float64bits(slowness))
 	e.tookAt.Store(now.UnixNano())
 }
 
-// latencyNow returns the latency of a target, less the longer ago it was seen.
-func (e *entry) latencyNow(now time.Time) time.Duration {
+// blend returns an average with the newest value in it.
+func blend(before, newest float64) float64 {
+	return before + latencyShare*(newest-before)
+}
+
+// slownessNow returns the slowness of a target, the nearer to usual the longer
+// ago it was seen.
+func (e *entry) slownessNow(now time.Time) float64 {
+	bits := e.slowness.Load()
+	if bits == 0 {
+		return 1
+	}
 	age := float64(now.UnixNano() - e.tookAt.Load())
-	return time.Duration(float64(e.latency.Load()) * math.Exp2(-age/float64(latencyHalfLife)))
+	return 1 + (math.Float64frombits(bits)-1)*math.Exp2(-age/float64(slownessHalfLife))
 }
 
 // stalled says whether calls are at a target and none comes back.
-func (e *entry) stalled(latency time.Duration, now time.Time) bool {
+func (e *entry) stalled(now time.Time) bool {
+	latency := time.Duration(e.latency.Load())
 	if e.inFlight.Load() < stallCalls || latency == 0 {
 		return false
 	}
@@ -141,13 +161,12 @@
 	if age := now.Sub(e.first); age < slowStart {
 		weight = float64(age) / float64(slowStart)
 	}
-	latency := e.latencyNow(now)
 	return fireflymoor.Candidate{
 		Target:   target,
 		InFlight: int(e.inFlight.Load()),
 		Load:     load,
-		Latency:  latency,
-		Stalled:  e.stalled(latency, now),
+		Slowness: e.slownessNow(now),
+		Stalled:  e.stalled(now),
 		Weight:   weight,
 		Local:    target.Zone == t.zone,
 		Own:      target.Node == t.node,
--- a/view.go
+++ b/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 )
 
 // TargetState is what is known of a target.
@@ -95,9 +94,9 @@
 	// Load is the share of the target's slots in use when it last answered
 	// or refused, more than 1 while calls wait. It is a hint, and 0 when old.
 	Load float64
-	// Latency is how long this proxy's own calls have taken there lately, or
-	// 0 if there were none.
-	Latency time.Duration
+	// Slowness is how long this proxy's own calls have taken there lately, as a
+	// multiple of what is usual on their routes. It is 1 if that is not known.
+	Slowness float64
 	// Stalled says that calls of this proxy are at the target and none has
 	// come back for far longer than they take there.
 	Stalled bool
