Send part of a zone's calls elsewhere as its targets fill

A proxy hears of each target once a second and believes that for 200 ms, so that it never saw the zone full. Ruled out: the links (going there took 18 ms in the median then) and the limits of the own instance.

The mean load that all answers from a zone have told is kept for each service; from 0.75 on a growing part of the calls goes to other zones, unless these are as full.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -16,6 +16,11 @@
 	nearFull = 1.5
 	// leastWeight keeps a cold target from getting no work at all.
 	leastWeight = 0.05
+	// spillFrom is the mean load of a zone from which part of its calls go
+	// elsewhere, and spillWidth by how much more all do: at that load some of
+	// its targets are full, and no proxy knows which.
+	spillFrom  = 0.75
+	spillWidth = 0.5
 	// farCost is how many times longer a call may take at a target of the own
 	// zone than at one elsewhere and still go there: links between zones are
 	// dear.
@@ -39,8 +44,8 @@
 // NewTwoChoices returns a new fireflymoor.Balancer that prefers the target of
 // the own instance while it has a slot and is not slower than others. Else it
 // takes two random targets of the own availability zone and picks the one that
-// costs less, and spills over to other zones when the zone is full or much
-// slower. What a target costs is by the proxy's own calls, how many and how
+// costs less, and spills over to other zones the more of its calls the fuller
+// the zone is, and all when it is much slower. What a target costs is by the proxy's own calls, how many and how
 // long; the load that the target tells is a hint.
 func NewTwoChoices() fireflymoor.Balancer {
 	return twoChoices{}
@@ -60,7 +65,7 @@
 		return pick(own, ReasonOwn), true
 	}
 	switch {
-	case near != nil && (far == nil || delay(near) <= farCost*delay(far)):
+	case near != nil && (far == nil || delay(near) <= farCost*delay(far) && rand.Float64() >= spill(near, far)):
 		return pick(near, ReasonLocal), true
 	case far != nil:
 		return pick(far, ReasonSpill), true
@@ -96,6 +101,12 @@
 	return other == nil || delay(own) <= ownCost*delay(other)
 }
 
+// spill is the share of the calls to the own zone, where near is, that go to
+// others, where far is.
+func spill(near, far *fireflymoor.Candidate) float64 {
+	return (near.ZoneLoad - max(far.ZoneLoad, spillFrom)) / spillWidth
+}
+
 // lowerOfTwo returns the one that costs less of two random candidates that
 // are, or are not, local and full.
 func lowerOfTwo(candidates []fireflymoor.Candidate, local, full bool) *fireflymoor.Candidate {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -35,7 +35,9 @@
 	node    string
 	zone    string
 	entries sync.Map
-	usual   *usual
+	// zones holds the zoneLoad of each zoneKey.
+	zones sync.Map
+	usual *usual
 }
 
 type key struct {
@@ -66,6 +68,18 @@
 	}
 }
 
+func (t *Tracker) zoneOf(target fireflymoor.Target) *zoneLoad {
+	k := zoneKey{
+		service: target.Service,
+		zone:    target.Zone,
+	}
+	if z, ok := t.zones.Load(k); ok {
+		return z.(*zoneLoad)
+	}
+	z, _ := t.zones.LoadOrStore(k, &zoneLoad{})
+	return z.(*zoneLoad)
+}
+
 func (t *Tracker) entry(target fireflymoor.Target, now time.Time) *entry {
 	k := key{
 		id:   target.ID,
@@ -93,7 +107,12 @@
 
 // SetLoad notes the load that a target's answer carried.
 func (t *Tracker) SetLoad(target fireflymoor.Target, load float64, now time.Time) {
+	t.setLoad(target, load, now)
+}
+
+func (t *Tracker) setLoad(target fireflymoor.Target, load float64, now time.Time) {
 	t.entry(target, now).setLoad(load, now)
+	t.zoneOf(target).note(load, now)
 }
 
 func (e *entry) setLoad(load float64, now time.Time) {
@@ -104,7 +123,7 @@
 
 // Refused notes that a target had no slot for a call.
 func (t *Tracker) Refused(target fireflymoor.Target, now time.Time) {
-	t.entry(target, now).setLoad(full, now)
+	t.setLoad(target, full, now)
 }
 
 // Answered notes how long a call of a route to a target took.
@@ -165,6 +184,7 @@
 		Target:   target,
 		InFlight: int(e.inFlight.Load()),
 		Load:     load,
+		ZoneLoad: t.zoneOf(target).now(now),
 		Slowness: e.slownessNow(now),
 		Stalled:  e.stalled(now),
 		Weight:   weight,
--- a/view.go
+++ b/view.go
@@ -94,6 +94,10 @@
 	// Load is the share of the target's slots in use when it last answered
 	// or refused, more than 1 while calls wait. It is a hint, and 0 when old.
 	Load float64
+	// ZoneLoad is the mean load that targets of its service and availability
+	// zone have told this proxy lately, where a refusal counts as 2. It is 0 if
+	// none has.
+	ZoneLoad float64
 	// Slowness is how long this proxy's own calls have taken there lately, as a
 	// multiple of what is usual on their routes. It is 1 if that is not known.
 	Slowness float64
