Do not write out what both nodes know of a call

An answer now tells the ids by their last three bytes, common words by a letter, and a request names neither its target's node nor the caller's id twice. TestThinLinkBack, TestAnyHeaders. An answer to another request is told by the three bytes (TestAnswerToAnother).

--- a/dialect.go
+++ b/dialect.go
@@ -50,7 +50,8 @@
 // own content.
 type Dialect interface {
 	// Common returns the names, in canonical form, of the headers that most
-	// calls and answers bear. Nodes send them to each other in short.
+	// calls and answers bear. Nodes send them to each other in short. The first
+	// is the one with the id that callers give their calls.
 	Common() []string
 	// ReadCall reads the head of a caller's call. It drops from the header
 	// what only the system may write.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -26,7 +26,7 @@
 func TestRefusalKeepsTheConnection(t *testing.T) {
 	is := is.New(t)
 	var opened atomic.Int64
-	busy := httptest.NewUnstartedServer(packer.New().Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	busy := httptest.NewUnstartedServer(packer.New("node").Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
 		w.Header().Set(labeler.Outcome, fireflymoor.NotRun.String())
 		http.Error(w, "all slots are full", http.StatusServiceUnavailable)
@@ -38,7 +38,7 @@
 	}
 	busy.Start()
 	defer busy.Close()
-	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())), packer.New())
+	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())), packer.New("node"))
 	for range 50 {
 		request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
 		request.Header.Set(labeler.CallID, "call")
@@ -61,7 +61,7 @@
 	is := is.New(t)
 	is.True(idleTimeout+silence < silentCost)
 	var opened, closed atomic.Int64
-	node := httptest.NewUnstartedServer(packer.New().Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	node := httptest.NewUnstartedServer(packer.New("node").Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
 		w.Header().Set(labeler.Outcome, fireflymoor.Answered.String())
 	})))
@@ -75,7 +75,7 @@
 	}
 	node.Start()
 	defer node.Close()
-	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())), packer.New())
+	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())), packer.New("node"))
 	request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
 	request.Header.Set(labeler.CallID, "call")
 	response, _, err := f.Forward(t.Context(), fireflymoor.Target{
@@ -126,7 +126,7 @@
 	t.Helper()
 	is := is.New(t)
 	var once sync.Once
-	node := httptest.NewServer(packer.New().Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	node := httptest.NewServer(packer.New("node").Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == RevokePath {
 			<-begun
 			w.Header().Set(StateHeader, string(registrar.Answered))
@@ -139,7 +139,7 @@
 		write(w)
 	})))
 	defer node.Close()
-	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())), packer.New())
+	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())), packer.New("node"))
 	request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
 	request.Header.Set(labeler.CallID, "call")
 	request.Header.Set(labeler.Once, "yes")
--- a/internal/packer/handler.go
+++ b/internal/packer/handler.go
@@ -1,6 +1,9 @@
 package packer
 
-import "net/http"
+import (
+	"maps"
+	"net/http"
+)
 
 // Handler returns a handler that unpacks the headers of requests for next, and
 // packs those of its answers.
@@ -10,6 +13,7 @@
 		packing := &writer{
 			ResponseWriter: w,
 			packer:         p,
+			request:        maps.Clone(request.Header),
 		}
 		next.ServeHTTP(packing, request)
 		if !packing.wrote {
@@ -21,8 +25,9 @@
 // writer packs the header of an answer before it is written.
 type writer struct {
 	http.ResponseWriter
-	packer *Packer
-	wrote  bool
+	packer  *Packer
+	request http.Header
+	wrote   bool
 }
 
 // WriteHeader implements http.ResponseWriter. The server adds neither a date
@@ -31,7 +36,7 @@
 	if !w.wrote && status >= http.StatusOK {
 		w.wrote = true
 		header := w.Header()
-		w.packer.Pack(header)
+		w.packer.PackAnswer(header, w.request)
 		for _, name := range []string{"Date", "Content-Type"} {
 			if _, ok := header[name]; !ok {
 				header[name] = nil
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -1,6 +1,6 @@
 // Package packer gathers the headers that most calls between nodes bear in one
-// short header. An instance's link is thin, and their names are longer than
-// their values.
+// short header. An instance's link is thin, and their names and much of their
+// values are known to both ends.
 package packer
 
 import (
@@ -13,24 +13,53 @@
 // separator stands between the packed headers, each a letter and a value.
 const separator = "\t"
 
+// A packed value begins with one of these if it is not the header's own.
+const (
+	// sameMark stands before the last bytes of a value that is the same in the
+	// request.
+	sameMark = '='
+	// wordMark stands before the letter of a word.
+	wordMark = '~'
+	// restMark stands before the rest of a value whose beginning is known: the
+	// caller's id in a call's, and the node's name in a target's.
+	restMark = '&'
+)
+
 // letters name the headers of calls that every process knows.
 var letters = map[string]byte{
-	labeler.CallID:   'c',
-	labeler.Deadline: 'd',
-	labeler.Outcome:  'u',
-	labeler.Reason:   'e',
-	labeler.TargetID: 't',
-	labeler.Boot:     'b',
-	labeler.Once:     'o',
-	labeler.Draining: 'g',
-	labeler.Rank:     'r',
-	labeler.Within:   'w',
-	labeler.Wait:     'q',
-	labeler.Arrived:  'a',
-	labeler.Origin:   's',
-	labeler.Load:     'l',
-	"Content-Type":   'y',
-	"Date":           'z',
+	labeler.CallID:    'c',
+	labeler.Deadline:  'd',
+	labeler.Outcome:   'u',
+	labeler.Reason:    'e',
+	labeler.TargetID:  't',
+	labeler.Boot:      'b',
+	labeler.Once:      'o',
+	labeler.Draining:  'g',
+	labeler.Rank:      'r',
+	labeler.Within:    'w',
+	labeler.Wait:      'q',
+	labeler.Arrived:   'a',
+	labeler.Origin:    's',
+	labeler.Load:      'l',
+	"Content-Type":    'y',
+	"Date":            'z',
+	"User-Agent":      'h',
+	"Accept":          'i',
+	"Accept-Encoding": 'j',
+}
+
+// words are values that many headers have.
+var words = map[string]byte{
+	"answered":                  'a',
+	"not-run":                   'n',
+	"unknown":                   'u',
+	"yes":                       'y',
+	"identity":                  'i',
+	"gzip":                      'g',
+	"*/*":                       's',
+	"application/octet-stream":  'o',
+	"application/json":          'j',
+	"text/plain; charset=utf-8": 't',
 }
 
 const (
@@ -40,28 +69,44 @@
 	mostCommon  = 'Z' - firstCommon + 1
 	// usualField is what a field takes in most calls, in bytes.
 	usualField = 16
+	// tail is how many bytes of a value that is the same in the request travel
+	// in the answer, so that the answer to another is told by them.
+	tail = 3
 )
 
 // A Packer packs the headers of requests and answers between nodes. All nodes
 // must be made with the same names.
 type Packer struct {
+	node    string
 	letters map[string]byte
 	names   map[byte]string
+	words   map[byte]string
+	// id is the name of the header that bears the caller's id, or empty.
+	id string
 }
 
-// New returns a new Packer that knows, beside the system's own headers, the
-// first 26 of the names, which are in canonical form.
-func New(names ...string) *Packer {
+// New returns a new Packer for a node. It knows, beside the system's own
+// headers, the first 26 of the names, which are in canonical form. The first of
+// them bears the id that callers give their calls.
+func New(node string, names ...string) *Packer {
 	p := &Packer{
+		node:    node,
 		letters: map[string]byte{},
 		names:   map[byte]string{},
+		words:   map[byte]string{},
 	}
 	for name, letter := range letters {
 		p.add(name, letter)
 	}
+	for word, letter := range words {
+		p.words[letter] = word
+	}
 	for i, name := range names[:min(len(names), mostCommon)] {
 		p.add(name, firstCommon+byte(i))
 	}
+	if len(names) > 0 {
+		p.id = names[0]
+	}
 	return p
 }
 
@@ -70,20 +115,35 @@
 	p.names[letter] = name
 }
 
-// Pack gathers in one header those that the packer knows. A header with
-// several values, or with a tab in its value, stays as it is.
-func (p *Packer) Pack(header http.Header) {
+// Pack gathers in one header those of a request that the packer knows. A
+// header with several values, or with one that cannot be packed, stays as it
+// is.
+func (p *Packer) Pack(request http.Header) {
+	p.pack(request, nil)
+}
+
+// PackAnswer does the same with the headers of the answer to a request.
+func (p *Packer) PackAnswer(answer, request http.Header) {
+	p.pack(answer, request)
+}
+
+func (p *Packer) pack(header, request http.Header) {
 	delete(header, labeler.Packed)
+	id := first(header, p.id)
 	packed := make([]byte, 0, len(header)*usualField)
 	for name, values := range header {
 		letter, known := p.letters[name]
-		if !known || len(values) != 1 || strings.Contains(values[0], separator) {
+		if !known || len(values) != 1 {
+			continue
+		}
+		value, ok := shorten(name, values[0], id, request)
+		if !ok {
 			continue
 		}
 		if len(packed) > 0 {
 			packed = append(packed, separator...)
 		}
-		packed = append(append(packed, letter), values[0]...)
+		packed = append(append(packed, letter), value...)
 		delete(header, name)
 	}
 	if len(packed) > 0 {
@@ -91,20 +151,92 @@
 	}
 }
 
-// Unpack puts the headers that Pack has gathered back. What it does not know
-// is dropped.
-func (p *Packer) Unpack(header http.Header) {
+// first returns the first value of a header under its canonical name.
+func first(header http.Header, name string) string {
+	if values := header[name]; len(values) > 0 {
+		return values[0]
+	}
+	return ""
+}
+
+// shorten returns what is written for a value. It reports false if the value
+// could be taken for something else.
+func shorten(name, value, id string, request http.Header) (string, bool) {
+	if value != "" && value == first(request, name) {
+		return string(sameMark) + value[max(len(value)-tail, 0):], true
+	}
+	if letter, ok := words[value]; ok {
+		return string([]byte{wordMark, letter}), true
+	}
+	if rest, ok := strings.CutPrefix(value, id); ok && name == labeler.CallID && id != "" {
+		return string(restMark) + rest, true
+	}
+	if _, rest, ok := strings.Cut(value, "/"); ok && name == labeler.TargetID && !strings.Contains(rest, "/") {
+		return string(restMark) + rest, true
+	}
+	ambiguous := value != "" && strings.IndexByte(string([]byte{sameMark, wordMark, restMark}), value[0]) >= 0
+	return value, !ambiguous && !strings.Contains(value, separator)
+}
+
+// Unpack puts the headers of a request to this node back that Pack has
+// gathered. What it does not know is dropped.
+func (p *Packer) Unpack(request http.Header) {
+	p.unpack(request, nil)
+}
+
+// UnpackAnswer does the same with the headers of the answer to a request. What
+// belongs to the answer to another is dropped.
+func (p *Packer) UnpackAnswer(answer, request http.Header) {
+	p.unpack(answer, request)
+}
+
+func (p *Packer) unpack(header, request http.Header) {
 	values := header[labeler.Packed]
 	delete(header, labeler.Packed)
 	if len(values) != 1 {
 		return
 	}
+	callRest := ""
 	for field := range strings.SplitSeq(values[0], separator) {
 		if field == "" {
 			continue
 		}
-		if name, known := p.names[field[0]]; known {
-			header[name] = []string{field[1:]}
+		name, known := p.names[field[0]]
+		if !known {
+			continue
+		}
+		value := field[1:]
+		if name == labeler.CallID && len(value) > 0 && value[0] == restMark {
+			callRest = value[1:]
+			continue
+		}
+		if value, ok := p.lengthen(name, value, request); ok {
+			header[name] = []string{value}
+		}
+	}
+	if id := first(header, p.id); callRest != "" && id != "" {
+		header[labeler.CallID] = []string{id + callRest}
+	}
+}
+
+// lengthen returns the value that shorten has written. It reports false if it
+// cannot be known.
+func (p *Packer) lengthen(name, written string, request http.Header) (string, bool) {
+	if written == "" {
+		return "", true
+	}
+	switch written[0] {
+	case sameMark:
+		value := first(request, name)
+		return value, value != "" && strings.HasSuffix(value, written[1:])
+	case wordMark:
+		if len(written) != len([]byte{wordMark, 0}) {
+			return "", false
 		}
+		word, ok := p.words[written[1]]
+		return word, ok
+	case restMark:
+		return p.node + "/" + written[1:], name == labeler.TargetID
 	}
+	return written, true
 }
--- a/internal/packer/packer_test.go
+++ b/internal/packer/packer_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/fireflymoor/fireflymoor/internal/labeler"
 )
@@ -37,7 +39,7 @@
 // a separator beside its value, and all of them together one name.
 func TestThinLink(t *testing.T) {
 	is := is.New(t)
-	p := New("X-Request-Id")
+	p := New("sidecar-lima-centro-10", "X-Request-Id")
 	full, packed := heads(), heads()
 	p.Pack(packed)
 	most := len(labeler.Packed + ": \r\n")
@@ -49,11 +51,83 @@
 	is.Equal(packed, full)
 }
 
+// TestThinLinkBack has the answer cross it. What the request has said is told by
+// its last bytes, and of the rest only what the target alone knows is written
+// out.
+func TestThinLinkBack(t *testing.T) {
+	is := is.New(t)
+	caller := New("caller", "X-Request-Id", "X-Stamp")
+	target := New("sidecar-lima-centro-10", "X-Request-Id", "X-Stamp")
+	sent := heads()
+	caller.Pack(sent)
+	target.Unpack(sent)
+	is.Equal(sent, heads())
+	full := http.Header{
+		"X-Request-Id":  {"418af5b6fd4523b9"},
+		"X-Stamp":       {"3d.182.5d8.0.95b500a8f039d10e"},
+		labeler.CallID:  {"418af5b6fd4523b9.sidecar-lima-norte-22.332"},
+		labeler.Outcome: {"answered"},
+		labeler.Load:    {"0.28"},
+		"Content-Type":  {"application/octet-stream"},
+	}
+	packed := full.Clone()
+	target.PackAnswer(packed, sent)
+	own := len(full.Get("X-Stamp")) + len(full.Get(labeler.Load))
+	is.True(size(is, packed) <= len(labeler.Packed+": \r\n")+own+len(full)*len("a=332\t"))
+	caller.UnpackAnswer(packed, heads())
+	is.Equal(packed, full)
+}
+
+// TestAnswerToAnother unpacks an answer beside another request than its own:
+// its call id is not taken for that one's.
+func TestAnswerToAnother(t *testing.T) {
+	is := is.New(t)
+	p := New("node")
+	answer := http.Header{
+		labeler.CallID: {"call.332"},
+	}
+	p.PackAnswer(answer, http.Header{labeler.CallID: {"call.332"}})
+	p.UnpackAnswer(answer, http.Header{labeler.CallID: {"call.333"}})
+	is.Equal(answer.Get(labeler.CallID), "")
+}
+
+// TestAnyHeaders packs requests and their answers of any values, and gets them
+// back.
+func TestAnyHeaders(t *testing.T) {
+	value := rapid.OneOf(
+		rapid.SampledFrom([]string{"", "answered", "id", "id.node.1", "node/a", "node/a/b", "=id", "~a", "&a", "a\tb", "/"}),
+		rapid.StringMatching(`[ -~]{0,8}`),
+	)
+	headers := rapid.MapOf(
+		rapid.SampledFrom([]string{"X-Request-Id", labeler.CallID, labeler.TargetID, labeler.Outcome, "Accept", "X-Unknown"}),
+		rapid.SliceOfN(value, 1, 2),
+	)
+	rapid.Check(t, func(r *rapid.T) {
+		is := is.New(t)
+		p := New("node", "X-Request-Id")
+		request := http.Header(headers.Draw(r, "request"))
+		// A target's id begins with the name of the node that the request goes to.
+		if id := request.Get(labeler.TargetID); strings.Contains(id, "/") && !strings.HasPrefix(id, "node/") {
+			request.Del(labeler.TargetID)
+		}
+		packed := request.Clone()
+		p.Pack(packed)
+		p.Unpack(packed)
+		is.Equal(packed, request)
+		answer := http.Header(headers.Draw(r, "answer"))
+		answer.Del(labeler.TargetID)
+		packed = answer.Clone()
+		p.PackAnswer(packed, request)
+		p.UnpackAnswer(packed, request)
+		is.Equal(packed, answer)
+	})
+}
+
 // TestOddHeaders packs what cannot be packed: it stays as it is, and what a
 // caller puts in the packed header is not taken for the system's.
 func TestOddHeaders(t *testing.T) {
 	is := is.New(t)
-	p := New()
+	p := New("node")
 	header := http.Header{
 		labeler.Reason:  {"a\ttab"},
 		labeler.Outcome: {"one", "two"},
@@ -70,7 +144,7 @@
 		"X-Unknown":     {"stays"},
 		labeler.Once:    {""},
 	})
-	for _, odd := range [][]string{{""}, {"\t\t"}, {"?what"}, {"c1", "c2"}} {
+	for _, odd := range [][]string{{""}, {"\t\t"}, {"?what"}, {"c1", "c2"}, {"u~"}, {"u~?"}, {"u~aa"}, {"u="}, {"u=a"}, {"u&a"}, {"c&a"}} {
 		header = http.Header{
 			labeler.Packed: odd,
 		}
@@ -93,7 +167,7 @@
 	for name, write := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p := New()
+			p := New("node")
 			server := httptest.NewServer(p.Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 				w.Header().Set(labeler.CallID, request.Header.Get(labeler.CallID))
 				write(w)
@@ -106,7 +180,7 @@
 			response, err := server.Client().Do(request)
 			is.NoErr(err)
 			defer func() { _ = response.Body.Close() }()
-			is.Equal(response.Header.Get(labeler.Packed), "ccall")
+			is.Equal(response.Header.Get(labeler.Packed), "c=all")
 			is.Equal(response.Header.Get("Date"), "")
 			is.Equal(response.Header.Get("Content-Type"), "")
 		})
--- a/internal/sender/transport.go
+++ b/internal/sender/transport.go
@@ -139,7 +139,7 @@
 			return nil, err
 		}
 		if t.packer != nil {
-			t.packer.Unpack(response.Header)
+			t.packer.UnpackAnswer(response.Header, request.Header)
 		}
 		if t.own(request.Header, response.Header) {
 			return response, nil
