Hand on only the newest of the versions that a starting replica replays

Ruled out: targets, which were announced as the nodes started; the election (0.15 s after the last start); unpacking, which is done as before and takes 1.3 ms a change with it.

A change that the disk held at the start is applied, and only the newest version handed on. TestReplay failed with 30 versions handed on instead of one.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -73,10 +73,12 @@
 	recorder   *recorder.Recorder
 	applied    uint64
 	compacted  uint64
-	changes    map[string][]chan *messenger.ChangeRecord
-	reads      map[uint64]*read
-	lastToken  uint64
-	role       replicator.Role
+	// replayed is the index of the last entry that the disk held at the start.
+	replayed  uint64
+	changes   map[string][]chan *messenger.ChangeRecord
+	reads     map[uint64]*read
+	lastToken uint64
+	role      replicator.Role
 }
 
 // read waits for an index to be confirmed and applied.
@@ -104,6 +106,7 @@
 			return nil, err
 		}
 	}
+	c.replayed = c.applied + uint64(len(durable.Entries))
 	return c, nil
 }
 
@@ -143,9 +146,7 @@
 		}
 		c.accepted()
 	}
-	for _, e := range effects.Committed {
-		c.apply(e)
-	}
+	c.applyAll(effects.Committed)
 	for _, r := range effects.Reads {
 		c.confirmed(r)
 	}
@@ -173,16 +174,34 @@
 	return nil
 }
 
-func (c *Controller) apply(e *messenger.Entry) {
+// applyAll applies committed entries. Of the versions that the disk held at the
+// start only the newest is handed on: the others are long in force, and each
+// costs as much as a new one.
+func (c *Controller) applyAll(entries []*messenger.Entry) {
+	pending := false
+	for _, e := range entries {
+		pending = c.apply(e) || pending
+		if pending && e.GetIndex() >= c.replayed {
+			c.accepted()
+			pending = false
+		}
+	}
+	if pending {
+		c.accepted()
+	}
+}
+
+// apply applies a committed entry, and says whether it makes a new version.
+func (c *Controller) apply(e *messenger.Entry) bool {
 	c.options.Asserter.Check(e.GetIndex() == c.applied+1, "applied-in-order", "apply")
 	c.applied = e.GetIndex()
 	if e.GetKind() != messenger.EntryKind_ENTRY_CHANGE {
-		return
+		return false
 	}
 	change := &messenger.Change{}
 	if err := proto.Unmarshal(e.GetData(), change); err != nil {
 		c.options.Log.Error().Err(err).Uint64("index", e.GetIndex()).Msg("control: an entry is unreadable")
-		return
+		return false
 	}
 	record, accepted := c.recorder.Apply(change)
 	c.options.Log.Info().Str("change", change.GetId()).Str("team", change.GetTeam()).
@@ -192,9 +211,7 @@
 		waiting <- record
 	}
 	delete(c.changes, change.GetId())
-	if accepted {
-		c.accepted()
-	}
+	return accepted
 }
 
 // accepted hands the accepted version on.
