--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -330,6 +330,25 @@
 	return keys
 }
 
+// Key returns the key of the named member's fact.
+func (a *Announcer) Key(name string) *messenger.FactKey {
+	return keyOf(a.Fact(name))
+}
+
+// Lacking returns the names of those keys whose facts are newer than what is
+// known here.
+func (a *Announcer) Lacking(keys []*messenger.FactKey) []string {
+	var names []string
+	for _, k := range keys {
+		known := a.Fact(k.GetName())
+		lacked := known == nil && k.GetState() == messenger.MemberState_MEMBER_ALIVE
+		if lacked || known != nil && compare(k, keyOf(known)) > 0 {
+			names = append(names, k.GetName())
+		}
+	}
+	return names
+}
+
 // Newer returns the facts in the buckets that are newer than the keys, or
 // that the keys lack.
 func (a *Announcer) Newer(buckets []uint32, keys []*messenger.FactKey) []*messenger.Fact {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -237,19 +237,39 @@
 	c.flushing = false
 	c.publish()
 	for name, link := range c.links {
-		facts := &messenger.Facts{}
-		for fact, from := range c.pending {
-			if from.peer != name {
-				facts.Facts = append(facts.Facts, c.announcer.Fact(fact))
-			}
-		}
-		if len(facts.GetFacts()) > 0 {
-			link.Send(factsFrame(facts))
-		}
+		c.tellPending(name, link)
 	}
 	c.pending = map[string]source{}
 }
 
+// tellPending tells a neighbour of the pending facts. One in another zone is
+// offered those that are not this process's own news: most come there by its
+// own neighbours, and the way is dear.
+func (c *Coordinator) tellPending(name string, link *neighbour.Link) {
+	facts := &messenger.Facts{}
+	offer := &messenger.Offer{}
+	far := link.Peer().GetZone() != c.announcer.Self().GetZone()
+	for fact, from := range c.pending {
+		switch {
+		case from.peer == name:
+		case far && from.peer != "":
+			offer.Keys = append(offer.Keys, c.announcer.Key(fact))
+		default:
+			facts.Facts = append(facts.Facts, c.announcer.Fact(fact))
+		}
+	}
+	if len(facts.GetFacts()) > 0 {
+		link.Send(factsFrame(facts))
+	}
+	if len(offer.GetKeys()) > 0 {
+		link.Send(&messenger.Frame{
+			Body: &messenger.Frame_Offer{
+				Offer: offer,
+			},
+		})
+	}
+}
+
 func factsFrame(facts *messenger.Facts) *messenger.Frame {
 	return &messenger.Frame{
 		Body: &messenger.Frame_Facts{
--- a/internal/coordinator/handler.go
+++ b/internal/coordinator/handler.go
@@ -162,6 +162,10 @@
 		c.onDigest(link, body.Digest)
 	case *messenger.Frame_FactKeys:
 		c.onFactKeys(link, body.FactKeys)
+	case *messenger.Frame_Offer:
+		c.onOffer(link, body.Offer)
+	case *messenger.Frame_FactRequest:
+		c.onFactRequest(link, body.FactRequest)
 	case *messenger.Frame_Head:
 		c.Apply(c.distributor.OnHead(name, body.Head, now))
 	case *messenger.Frame_ManifestRequest:
--- /dev/null
+++ b/internal/coordinator/offer_test.go
@@ -0,0 +1,175 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/fireflymoor/fireflymoor/internal/asserter"
+	"github.com/fireflymoor/fireflymoor/internal/counter"
+	"github.com/fireflymoor/fireflymoor/internal/dialer"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/neighbour"
+	"github.com/fireflymoor/fireflymoor/internal/sequencer"
+)
+
+const (
+	convergeTimeout = 20 * time.Second
+	testSlots       = 18
+)
+
+// overlayMember is one process of an overlay in this one.
+type overlayMember struct {
+	messenger.DRPCOverlayUnimplementedServer
+	coordinator *Coordinator
+	sequencer   *sequencer.Sequencer
+	registry    *prometheus.Registry
+}
+
+// Link implements messenger.DRPCOverlayServer.
+func (m *overlayMember) Link(s messenger.DRPCOverlay_LinkStream) error {
+	return m.coordinator.Linker().Accept(s.Context(), s)
+}
+
+// Stored implements Watcher.
+func (m *overlayMember) Stored() {}
+
+// MembersChanged implements Watcher.
+func (m *overlayMember) MembersChanged() {}
+
+func startMember(ctx context.Context, is *is.I, group *sync.WaitGroup, name, zone, seed string) (*overlayMember, string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	m := &overlayMember{
+		sequencer: sequencer.New(),
+		registry:  prometheus.NewRegistry(),
+	}
+	count := counter.New(m.registry)
+	var seeds []string
+	if seed != "" {
+		seeds = []string{seed}
+	}
+	m.coordinator = New(Options{
+		Self: &messenger.Fact{
+			Name:           name,
+			Zone:           zone,
+			Boot:           1,
+			Sequence:       1,
+			OverlayAddress: address,
+		},
+		Seeds:     seeds,
+		Sequencer: m.sequencer,
+		Asserter:  asserter.New(zerolog.Nop(), prometheus.NewRegistry()),
+		Dialer:    dialer.New(address, count),
+		Random:    rand.New(rand.NewPCG(1, uint64(len(name)))),
+		Log:       zerolog.Nop(),
+		Watcher:   m,
+	}, time.Now())
+	mux := drpcmux.New()
+	is.NoErr(messenger.DRPCRegisterOverlay(mux, m))
+	group.Go(func() { m.sequencer.Run(ctx) })
+	group.Go(func() { m.coordinator.Run(ctx) })
+	group.Go(func() { _ = neighbour.Serve(ctx, listener, mux, count) })
+	return m, address
+}
+
+// knows says whether the member holds the sequence number of all names.
+func (m *overlayMember) knows(ctx context.Context, names []string, sequence uint64) bool {
+	known := true
+	err := m.sequencer.Do(ctx, func() {
+		for _, name := range names {
+			known = known && m.coordinator.announcer.Fact(name).GetSequence() >= sequence
+		}
+	})
+	return err == nil && known
+}
+
+// sentBytes returns the bytes of messages of a kind that the member has sent.
+func (m *overlayMember) sentBytes(is *is.I, kind string) float64 {
+	families, err := m.registry.Gather()
+	is.NoErr(err)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			for _, label := range metric.GetLabel() {
+				if family.GetName() == "fireflymoor_sent_message_bytes_total" && label.GetValue() == kind {
+					return metric.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return 0
+}
+
+// TestFloodOnce has each of 24 members in 3 zones change its targets in turn,
+// as when an overlay forms. All learn of each change, and what is sent in full is
+// no more than three facts for each member and change.
+func TestFloodOnce(t *testing.T) {
+	const (
+		members = 24
+		most    = 3
+	)
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	var all []*overlayMember
+	var names []string
+	seed := ""
+	for i := range members {
+		name := fmt.Sprintf("member-%02d", i)
+		m, address := startMember(ctx, is, &group, name, fmt.Sprint("zone-", i%3), seed)
+		if seed == "" {
+			seed = address
+		}
+		all = append(all, m)
+		names = append(names, name)
+	}
+	converge := func(sequence uint64) {
+		deadline := time.Now().Add(convergeTimeout)
+		for _, m := range all {
+			for !m.knows(ctx, names, sequence) {
+				is.True(time.Now().Before(deadline)) // all members learn of all changes
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+	}
+	sent := func() float64 {
+		total := 0.0
+		for _, m := range all {
+			total += m.sentBytes(is, "facts")
+		}
+		return total
+	}
+	converge(1)
+	// Links that came up on the way are closed after a while.
+	time.Sleep(unwantedLife + time.Second)
+	before := sent()
+	var size int
+	for i, m := range all {
+		is.NoErr(m.sequencer.Do(ctx, func() {
+			m.coordinator.SetTargets([]*messenger.Target{{
+				Id:      names[i] + "/target",
+				Service: "service",
+				Slots:   testSlots,
+			}})
+			size = proto.Size(m.coordinator.announcer.Self())
+		}))
+		time.Sleep(2 * flushDelay)
+	}
+	converge(2)
+	copies := (sent() - before) / float64(size*members)
+	t.Logf("a fact is sent %.1f times", copies)
+	is.True(copies <= most*members)
+}
--- a/internal/neighbour/link.go
+++ b/internal/neighbour/link.go
@@ -268,6 +268,10 @@
 		return "goodbye"
 	case *messenger.Frame_Later:
 		return "later"
+	case *messenger.Frame_Offer:
+		return "offer"
+	case *messenger.Frame_FactRequest:
+		return "fact-request"
 	}
 	return "none"
 }
