Have each large zone tell the others of its own members only

Ruled out: facts in full, 0.9 MB now.

A fact of another zone's member is offered further only while that zone is small enough to have few links (16 members). What is missed is found by the digests in heartbeats, as before. TestRelays: all members hear of a fact in overlays of 5 zones of 1 to 20 members; without the exception for small zones two sizes fail.

--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -205,3 +205,48 @@
 		is.Equal(a.Fact("old").GetState(), messenger.MemberState_MEMBER_LEFT)
 	}
 }
+
+// TestRelays floods a fact of each zone over the links of overlays of 5 zones,
+// of 1 to 20 members each, as Relays says. All members hear of it.
+func TestRelays(t *testing.T) {
+	for size := 1; size <= 20; size++ {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			members := map[string]*Announcer{}
+			for zone := range 5 {
+				for i := range size {
+					f := fact(fmt.Sprintf("%c-%d", 'a'+zone, i), 1, 1)
+					members[f.GetName()] = New(f, start)
+				}
+			}
+			links := map[string][]string{}
+			for name, a := range members {
+				for _, other := range members {
+					a.Merge(other.Self(), start)
+				}
+				for _, f := range a.Neighbours() {
+					links[name] = append(links[name], f.GetName())
+					links[f.GetName()] = append(links[f.GetName()], name)
+				}
+			}
+			for _, origin := range []string{"a-0", "c-0", "e-0"} {
+				reached := map[string]bool{
+					origin: true,
+				}
+				frontier := []string{origin}
+				for len(frontier) > 0 {
+					name := frontier[0]
+					frontier = frontier[1:]
+					for _, next := range links[name] {
+						passed := name == origin || name[0] == next[0] || members[name].Relays(origin)
+						if passed && !reached[next] {
+							reached[next] = true
+							frontier = append(frontier, next)
+						}
+					}
+				}
+				is.Equal(len(reached), len(members))
+			}
+		})
+	}
+}
--- a/internal/announcer/ring.go
+++ b/internal/announcer/ring.go
@@ -116,6 +116,14 @@
 	return neighbours
 }
 
+// Relays says whether a neighbour in another zone should hear of a member's
+// fact from here: of one of the own zone always, and else unless the member's
+// zone is large, as it then has links to all others itself.
+func (a *Announcer) Relays(name string) bool {
+	zone := a.Fact(name).GetZone()
+	return zone == a.Self().GetZone() || len(a.ring(zone)) < smallZone
+}
+
 // Suspects returns the members that are not heard.
 func (a *Announcer) Suspects() []*messenger.Fact {
 	var suspects []*messenger.Fact
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -243,8 +243,8 @@
 }
 
 // tellPending tells a neighbour of the pending facts. One in another zone is
-// offered those that are not this process's own news: most come there by its
-// own neighbours, and the way is dear.
+// offered those of this zone's other members, as most come there by other ways
+// too, and the way is dear.
 func (c *Coordinator) tellPending(name string, link *neighbour.Link) {
 	facts := &messenger.Facts{}
 	offer := &messenger.Offer{}
@@ -252,6 +252,7 @@
 	for fact, from := range c.pending {
 		switch {
 		case from.peer == name:
+		case far && from.peer != "" && !c.announcer.Relays(fact):
 		case far && from.peer != "":
 			offer.Keys = append(offer.Keys, c.announcer.Key(fact))
 		default:
