Take late answers to pulls of versions

Cause: a neighbour that has not answered a pull within 300 ms is passed over, and its answer was thrown away when it came. Ruled out: the replicas, which applied it within 0.1 s of each other.

Updates and pieces are taken from whoever sends them: their hashes say whether they are right. TestLateAnswer failed before.

--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -289,3 +289,32 @@
 		d.Adopt(s.change(fmt.Sprintf("team-%d", i%110), fmt.Sprint(i)))
 	}
 }
+
+// TestLateAnswer has a neighbour's answer take longer over its full link than it
+// may, so that another is asked. The answer counts when it comes.
+func TestLateAnswer(t *testing.T) {
+	is := is.New(t)
+	s := &source{
+		pieces: map[string][2]string{},
+	}
+	holder, member := New(failing{TB: t}), New(failing{TB: t})
+	holder.Adopt(s.change("team", "one"))
+	manifest, pieces := s.change("team", "two")
+	member.Adopt(s.manifest, pieces)
+	first, firstPieces := s.change("team", "three")
+	holder.Adopt(manifest, pieces)
+	holder.Adopt(first, firstPieces)
+	now := time.Unix(1, 0)
+	member.OnHead("near", &messenger.Head{Number: first.Number()}, now)
+	member.OnHead("far", &messenger.Head{Number: first.Number()}, now)
+	asked := member.asked
+	now = now.Add(pullTimeout)
+	member.Tick(now)
+	is.True(member.asked != asked)
+	answer := holder.OnManifestRequest("member", manifest.Number())
+	is.Equal(len(answer.Sends), 1)
+	effects := member.OnUpdates(asked, answer.Sends[0].Frame.GetUpdates().GetUpdates(), now)
+	is.True(effects.Stored)
+	is.Equal(member.Manifest().Number(), first.Number())
+	is.Equal(member.asked, "") // nobody else is waited for
+}
--- a/internal/distributor/pull.go
+++ b/internal/distributor/pull.go
@@ -30,13 +30,13 @@
 	return d.take()
 }
 
-// OnPieces takes pieces that were asked for. The version is stored only when
-// every piece is there and has the hash that the manifest names.
+// OnPieces takes pieces that were asked for, also late ones. The version is
+// stored only when every piece is there and has the hash that the manifest
+// names.
 func (d *Distributor) OnPieces(peer string, answer *messenger.Pieces, now time.Time) Effects {
-	if peer != d.asked || d.wanted == nil {
+	if d.wanted == nil {
 		return Effects{}
 	}
-	d.asked = ""
 	got := map[fireflymoor.Hash]string{}
 	packed := map[packKey][]byte{}
 	for _, p := range answer.GetPieces() {
@@ -46,7 +46,12 @@
 			packed[packKey{hash: hash, base: base}] = p.GetContent()
 		}
 	}
-	if !d.complete(got) {
+	complete := d.complete(got)
+	if !complete && peer != d.asked {
+		return Effects{}
+	}
+	d.asked = ""
+	if !complete {
 		delete(d.heads, peer)
 		d.chase(now)
 		return d.take()
--- a/internal/distributor/update.go
+++ b/internal/distributor/update.go
@@ -72,24 +72,31 @@
 	return u
 }
 
-// OnUpdates takes the updates that were asked for. Each leads to a version
-// only if all of that has the hash that the update names; otherwise the whole
-// manifest is asked for.
+// OnUpdates takes the updates that were asked for, also late ones. Each leads
+// to a version only if all of that has the hash that the update names;
+// otherwise the whole manifest is asked for.
 func (d *Distributor) OnUpdates(peer string, updates []*messenger.Update, now time.Time) Effects {
-	if peer != d.asked {
-		return Effects{}
+	late := peer != d.asked
+	if !late {
+		d.asked = ""
 	}
-	d.asked = ""
 	for _, u := range updates {
 		if u.GetNumber() <= d.manifest.Number() {
 			continue
 		}
-		if !d.apply(u) {
+		applied := d.apply(u)
+		if !applied && late {
+			return d.take()
+		}
+		if !applied {
 			d.askSince(peer, 0, now)
 			return d.take()
 		}
 	}
-	d.chase(now)
+	if !late || d.newest() == "" {
+		d.asked = ""
+		d.chase(now)
+	}
 	return d.take()
 }
 
