--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -44,9 +44,9 @@
 // NewTwoChoices returns a new fireflymoor.Balancer that prefers the target of
 // the own instance while it has a slot and is not slower than others. Else it
 // takes two random targets of the own availability zone and picks the one that
-// costs less, and spills over to other zones the more of its calls the fuller
-// the zone is, and all when it is much slower. What a target costs is by the proxy's own calls, how many and how
-// long; the load that the target tells is a hint.
+// costs less. Calls go to other zones when the own is much slower, and the more
+// of them the fuller it is. What a target costs is by the proxy's own calls, how
+// many and how long; the load that the target tells is a hint.
 func NewTwoChoices() fireflymoor.Balancer {
 	return twoChoices{}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -175,7 +175,7 @@
 }
 
 // applyAll applies committed entries. Of the versions that the disk held at the
-// start only the newest is handed on: the others are long in force, and each
+// start only the newest is handed on: nobody waits for those before it, and each
 // costs as much as a new one.
 func (c *Controller) applyAll(entries []*messenger.Entry) {
 	pending := false
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -37,8 +37,8 @@
 	zone    string
 	entries sync.Map
 	// zones holds the zoneLoad of each zoneKey.
-	zones sync.Map
-	usual *usual
+	zones     sync.Map
+	baselines *baselines
 }
 
 type key struct {
@@ -64,9 +64,9 @@
 // New returns a new Tracker for the proxy of a node in a zone.
 func New(node, zone string) *Tracker {
 	return &Tracker{
-		node:  node,
-		zone:  zone,
-		usual: newUsual(),
+		node:      node,
+		zone:      zone,
+		baselines: newBaselines(),
 	}
 }
 
@@ -134,7 +134,7 @@
 		latency = blend(float64(before), latency)
 	}
 	e.latency.Store(int64(latency))
-	slowness := t.usual.note(route, took)
+	slowness := t.baselines.note(route, took)
 	if e.slowness.Load() > 0 {
 		slowness = blend(e.slownessNow(now), slowness)
 	}
