Forget the loads of zones that have no targets left

Cause: Forget dropped targets that are gone and kept the load of each service and availability zone ever seen, so that a node grew with the services that its operators had dropped. Found by reading; no run showed it. TestZoneLoad, which also holds each zone's mean apart and has it age; there was no test of these. What the cached zone of an entry is for is said beside it.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -47,7 +47,8 @@
 }
 
 type entry struct {
-	first    time.Time
+	first time.Time
+	// zone is that of the target, at hand for each pick.
 	zone     *zoneLoad
 	inFlight atomic.Int64
 	load     atomic.Uint64
@@ -71,10 +72,7 @@
 }
 
 func (t *Tracker) zoneOf(target fireflymoor.Target) *zoneLoad {
-	k := zoneKey{
-		service: target.Service,
-		zone:    target.Zone,
-	}
+	k := zoneKeyOf(target)
 	if z, ok := t.zones.Load(k); ok {
 		return z.(*zoneLoad)
 	}
@@ -192,10 +190,13 @@
 	}
 }
 
-// Forget drops all targets but those given.
+// Forget drops all targets but those given, and the loads of zones that have
+// none of these.
 func (t *Tracker) Forget(keep []fireflymoor.Target) {
 	kept := map[key]bool{}
+	zones := map[zoneKey]bool{}
 	for i := range keep {
+		zones[zoneKeyOf(keep[i])] = true
 		kept[key{id: keep[i].ID, boot: keep[i].Boot}] = true
 	}
 	t.entries.Range(func(k, _ any) bool {
@@ -204,4 +205,10 @@
 		}
 		return true
 	})
+	t.zones.Range(func(k, _ any) bool {
+		if !zones[k.(zoneKey)] {
+			t.zones.Delete(k)
+		}
+		return true
+	})
 }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -126,3 +127,29 @@
 	is.True(tr.Candidate(targets[0], 0, now).Slowness < 1.2)
 	is.True(tr.Candidate(targets[2], 0, now).Slowness > 8)
 }
+
+// TestZoneLoad has answers of a service's targets in two zones tell their loads.
+// Each zone's mean is its own, and is forgotten with the last of its targets.
+func TestZoneLoad(t *testing.T) {
+	is := is.New(t)
+	tr := New("node", "a")
+	now := time.Unix(1e9, 0)
+	near := func(load, want float64) bool { return math.Abs(load-want) < 1e-6 }
+	own := fireflymoor.Target{ID: "own", Service: "service", Zone: "a"}
+	far := fireflymoor.Target{ID: "far", Service: "service", Zone: "b"}
+	tr.SetLoad(own, 0.9, now)
+	tr.SetLoad(far, 0.2, now)
+	other := own
+	other.ID = "other"
+	is.True(near(tr.Candidate(other, 0, now).ZoneLoad, 0.9)) // by the answers of its neighbours
+	is.True(near(tr.Candidate(far, 0, now).ZoneLoad, 0.2))
+	is.True(near(tr.Candidate(own, 0, now.Add(zoneHalfLife)).ZoneLoad, 0.45))
+	tr.Forget([]fireflymoor.Target{own})
+	zones := 0
+	tr.zones.Range(func(_, _ any) bool {
+		zones++
+		return true
+	})
+	is.Equal(zones, 1)
+	is.True(near(tr.Candidate(own, 0, now).ZoneLoad, 0.9))
+}
--- a/internal/tracker/zone.go
+++ b/internal/tracker/zone.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"github.com/fireflymoor/fireflymoor"
 )
 
 const (
@@ -20,6 +22,13 @@
 	zone    string
 }
 
+func zoneKeyOf(target fireflymoor.Target) zoneKey {
+	return zoneKey{
+		service: target.Service,
+		zone:    target.Zone,
+	}
+}
+
 // zoneLoad is the mean load of a zone's targets of one service, by all answers
 // from them. A proxy among many hears of each target too seldom to know when it
 // is full, and of all together often enough. Of answers that come at the same
