Wait for the overlay to settle by its links, not by the clock

It now waits until each member has dialed just the links that it keeps, and makes all changes at once. The bound is the same.

--- a/internal/coordinator/offer_test.go
+++ b/internal/coordinator/offer_test.go
@@ -21,10 +21,12 @@
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/neighbour"
 	"github.com/fireflymoor/fireflymoor/internal/sequencer"
+	"github.com/fireflymoor/fireflymoor/internal/waiter"
 )
 
 const (
 	convergeTimeout = 20 * time.Second
+	testPause       = 10 * time.Millisecond
 	testSlots       = 18
 )
 
@@ -95,6 +97,25 @@
 	return err == nil && known
 }
 
+// settled says whether the member has dialed just the links that it keeps.
+func (m *overlayMember) settled(ctx context.Context) bool {
+	settled := false
+	err := m.sequencer.Do(ctx, func() {
+		wanted := map[string]bool{}
+		for _, f := range m.coordinator.announcer.Neighbours() {
+			wanted[f.GetName()] = m.coordinator.links[f.GetName()] != nil
+		}
+		settled = true
+		for _, linked := range wanted {
+			settled = settled && linked
+		}
+		for name, link := range m.coordinator.links {
+			settled = settled && (wanted[name] || !link.Dialed())
+		}
+	})
+	return err == nil && settled
+}
+
 // sentBytes returns the bytes of messages of a kind that the member has sent.
 func (m *overlayMember) sentBytes(is *is.I, kind string) float64 {
 	families, err := m.registry.Gather()
@@ -141,7 +162,7 @@
 		for _, m := range all {
 			for !m.knows(ctx, names, sequence) {
 				is.True(time.Now().Before(deadline)) // all members learn of all changes
-				time.Sleep(10 * time.Millisecond)
+				waiter.Pause(ctx, testPause)
 			}
 		}
 	}
@@ -153,8 +174,13 @@
 		return total
 	}
 	converge(1)
-	// Links that came up on the way are closed after a while.
-	time.Sleep(unwantedLife + time.Second)
+	deadline := time.Now().Add(convergeTimeout)
+	for _, m := range all {
+		for !m.settled(ctx) {
+			is.True(time.Now().Before(deadline)) // links that came up on the way are closed
+			waiter.Pause(ctx, testPause)
+		}
+	}
 	before := sent()
 	var size int
 	for i, m := range all {
@@ -166,7 +192,6 @@
 			}})
 			size = proto.Size(m.coordinator.announcer.Self())
 		}))
-		time.Sleep(2 * flushDelay)
 	}
 	converge(2)
 	copies := (sent() - before) / float64(size*members)
