Know in one place what a target's id is made of

PackAnswer was called by tests only and is gone; they pack answers as the handler does. Its two tests of odd ids had one body: they are cases of TestOddIDs, each tried in a request, in its own answer and in another's.

--- a/internal/labeler/labeler.go
+++ b/internal/labeler/labeler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -98,6 +99,21 @@
 	return slices.Contains(inner, name)
 }
 
+// targetSeparator stands between the parts of a target's id.
+const targetSeparator = "/"
+
+// JoinTarget returns the id that other processes know a node's target by.
+func JoinTarget(node, id string) string {
+	return node + targetSeparator + id
+}
+
+// CutTarget returns the node and the node's own name for a target. It reports
+// false if the id has not just these two parts.
+func CutTarget(target string) (node, id string, ok bool) {
+	node, id, ok = strings.Cut(target, targetSeparator)
+	return node, id, ok && !strings.Contains(id, targetSeparator)
+}
+
 // SetDeadline writes the time that ctx has left.
 func SetDeadline(ctx context.Context, h http.Header) {
 	if at, ok := ctx.Deadline(); ok {
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -147,11 +147,6 @@
 	p.pack(request, ids{})
 }
 
-// PackAnswer does the same with the headers of the answer to a request.
-func (p *Packer) PackAnswer(answer, request http.Header) {
-	p.pack(answer, p.ids(request))
-}
-
 // pack packs the headers of a request, or of the answer to a call of ids.
 func (p *Packer) pack(header http.Header, asked ids) {
 	delete(header, labeler.Packed)
@@ -197,8 +192,8 @@
 			return append(append(packed, restMark), rest...), true
 		}
 	case labeler.TargetID:
-		if _, rest, ok := strings.Cut(value, "/"); ok && strings.IndexByte(rest, '/') < 0 {
-			return append(append(packed, restMark), rest...), true
+		if _, id, ok := labeler.CutTarget(value); ok {
+			return append(append(packed, restMark), id...), true
 		}
 	}
 	if value != "" && (value[0] == sameMark || value[0] == wordMark || value[0] == restMark) {
@@ -279,7 +274,7 @@
 		word, ok := p.words[written[1]]
 		return word, ok
 	case restMark:
-		return p.node + "/" + written[1:], name == labeler.TargetID
+		return labeler.JoinTarget(p.node, written[1:]), name == labeler.TargetID
 	}
 	return written, true
 }
--- a/internal/packer/packer_test.go
+++ b/internal/packer/packer_test.go
@@ -29,6 +29,23 @@
 	}
 }
 
+// crossed returns a request's headers after they were packed and unpacked.
+func crossed(p *Packer, request http.Header) http.Header {
+	packed := request.Clone()
+	p.Pack(packed)
+	p.Unpack(packed)
+	return packed
+}
+
+// answered returns the headers of the answer to a request after they were
+// packed and unpacked.
+func answered(p *Packer, answer, request http.Header) http.Header {
+	packed := answer.Clone()
+	p.pack(packed, p.ids(request))
+	p.UnpackAnswer(packed, request)
+	return packed
+}
+
 func size(is *is.I, header http.Header) int {
 	var b bytes.Buffer
 	is.NoErr(header.Write(&b))
@@ -71,7 +88,7 @@
 		"Content-Type":  {"application/octet-stream"},
 	}
 	packed := full.Clone()
-	target.PackAnswer(packed, sent)
+	target.pack(packed, target.ids(sent))
 	own := len(full.Get("X-Stamp")) + len(full.Get(labeler.Load))
 	is.True(size(is, packed) <= len(labeler.Packed+": \r\n")+own+len(full)*len("a=332\t"))
 	caller.UnpackAnswer(packed, heads())
@@ -86,7 +103,7 @@
 	answer := http.Header{
 		labeler.CallID: {"call.332"},
 	}
-	p.PackAnswer(answer, http.Header{labeler.CallID: {"call.332"}})
+	p.pack(answer, p.ids(http.Header{labeler.CallID: {"call.332"}}))
 	p.UnpackAnswer(answer, http.Header{labeler.CallID: {"call.333"}})
 	is.Equal(answer.Get(labeler.CallID), "")
 }
@@ -110,55 +127,35 @@
 		if id := request.Get(labeler.TargetID); strings.Contains(id, "/") && !strings.HasPrefix(id, "node/") {
 			request.Del(labeler.TargetID)
 		}
-		packed := request.Clone()
-		p.Pack(packed)
-		p.Unpack(packed)
-		is.Equal(packed, request)
+		is.Equal(crossed(p, request), request)
 		answer := http.Header(headers.Draw(r, "answer"))
 		answer.Del(labeler.TargetID)
-		packed = answer.Clone()
-		p.PackAnswer(packed, request)
-		p.UnpackAnswer(packed, request)
-		is.Equal(packed, answer)
+		is.Equal(answered(p, answer, request), answer)
 	})
 }
 
-// TestCallIDOfItsCaller packs a call id that is the caller's own, in a request
-// and in the answer to another.
-func TestCallIDOfItsCaller(t *testing.T) {
-	is := is.New(t)
-	p := New("node", "X-Request-Id")
-	header := http.Header{
-		"X-Request-Id": {"id"},
-		labeler.CallID: {"id"},
+// TestOddIDs packs ids that were once lost on the way: a call id that is the
+// caller's own, and an id with the separator in it, which a consumer may send.
+func TestOddIDs(t *testing.T) {
+	cases := map[string]http.Header{
+		"call's id is its caller's": {
+			"X-Request-Id": {"id"},
+			labeler.CallID: {"id"},
+		},
+		"tab in an id": {
+			"X-Request-Id": {"a\tb"},
+			labeler.CallID: {"a\tb.node.1"},
+		},
 	}
-	packed := header.Clone()
-	p.Pack(packed)
-	p.Unpack(packed)
-	is.Equal(packed, header)
-	packed = header.Clone()
-	p.PackAnswer(packed, http.Header{})
-	p.UnpackAnswer(packed, http.Header{})
-	is.Equal(packed, header)
-}
-
-// TestTabInID packs an id with the separator in it, which a consumer may send,
-// and which the answer has in the same words.
-func TestTabInID(t *testing.T) {
-	is := is.New(t)
-	p := New("node", "X-Request-Id")
-	header := http.Header{
-		"X-Request-Id": {"a\tb"},
-		labeler.CallID: {"a\tb.node.1"},
+	for name, header := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := New("node", "X-Request-Id")
+			is.Equal(crossed(p, header), header)
+			is.Equal(answered(p, header, header), header)
+			is.Equal(answered(p, header, http.Header{}), header)
+		})
 	}
-	packed := header.Clone()
-	p.Pack(packed)
-	p.Unpack(packed)
-	is.Equal(packed, header)
-	packed = header.Clone()
-	p.PackAnswer(packed, header)
-	p.UnpackAnswer(packed, header)
-	is.Equal(packed, header)
 }
 
 // TestOddHeaders packs what cannot be packed: it stays as it is, and what a
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/labeler"
 	"github.com/fireflymoor/fireflymoor/internal/limiter"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 )
@@ -292,7 +294,7 @@
 			state = messenger.TargetState_TARGET_DRAINING
 		}
 		targets = append(targets, &messenger.Target{
-			Id:      r.node + "/" + id,
+			Id:      labeler.JoinTarget(r.node, id),
 			Service: t.announcement.Service,
 			Slots:   uint32(t.announcement.Slots),
 			State:   state,
@@ -308,10 +310,11 @@
 func (r *Registry) find(id string) (*local, error) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if len(id) <= len(r.node) || id[:len(r.node)] != r.node {
+	own, ok := strings.CutPrefix(id, labeler.JoinTarget(r.node, ""))
+	if !ok {
 		return nil, ErrUnknown
 	}
-	t := r.targets[id[len(r.node)+1:]]
+	t := r.targets[own]
 	if t == nil {
 		return nil, ErrUnknown
 	}
