--- a/internal/distributor/update.go
+++ b/internal/distributor/update.go
@@ -84,14 +84,13 @@
 		if u.GetNumber() <= d.manifest.Number() {
 			continue
 		}
-		applied := d.apply(u)
-		if !applied && late {
-			return d.take()
+		if d.apply(u) {
+			continue
 		}
-		if !applied {
+		if !late {
 			d.askSince(peer, 0, now)
-			return d.take()
 		}
+		return d.take()
 	}
 	if !late || d.newest() == "" {
 		d.asked = ""
