--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -28,6 +28,9 @@
 	network      []*messenger.ReplicaMessage
 	blockedLinks map[[2]string]bool
 	lossRate     float64
+	// delayRates are the probabilities, by sender, that a message stays in
+	// flight for one more step.
+	delayRates   map[string]float64
 	admitAnyDisk bool
 
 	// committed maps each index to the value that a replica has applied there.
@@ -70,6 +73,7 @@
 		now:          time.Unix(1, 0),
 		replicas:     map[string]*testReplica{},
 		blockedLinks: map[[2]string]bool{},
+		delayRates:   map[string]float64{},
 		admitAnyDisk: admitAnyDisk,
 		committed:    map[uint64]string{},
 		leaders:      map[uint64]string{},
@@ -263,7 +267,7 @@
 		return
 	case c.lossRate > 0 && c.random.Float64() < c.lossRate:
 		c.network = append(c.network, m)
-	case to.frozen:
+	case to.frozen, c.random.Float64() < c.delayRates[m.GetFrom()]:
 		c.network = append(c.network, m)
 		return
 	}
@@ -329,6 +333,7 @@
 func (c *cluster) heal() {
 	c.blockedLinks = map[[2]string]bool{}
 	c.lossRate = 0
+	c.delayRates = map[string]float64{}
 	for _, name := range c.names {
 		m := c.replicas[name]
 		m.frozen = false
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -133,19 +133,25 @@
 	r.send(reply)
 }
 
-// installSnapshot replaces the log by a snapshot from the leader, unless its
-// entries are all committed here already. It returns the commit index.
+// installSnapshot replaces the log up to the index of a snapshot from the
+// leader, unless its entries are all committed here already. The entries after
+// that index stay if the log matches the snapshot there: the leader may have
+// counted them. It returns the commit index.
 func (r *Replicator) installSnapshot(s *messenger.Snapshot) uint64 {
 	if s.GetIndex() <= r.commit {
 		return r.commit
 	}
-	r.durable.Snapshot = s
-	r.durable.Entries = nil
 	save := r.pendingSave()
 	save.Snapshot = s
-	save.Reset = true
-	save.From = 0
-	save.Entries = nil
+	if s.GetIndex() <= r.lastIndex() && r.termAt(s.GetIndex()) == s.GetTerm() {
+		r.durable.Entries = slices.Clone(r.durable.Entries[s.GetIndex()-r.snapshotIndex():])
+	} else {
+		r.durable.Entries = nil
+		save.Reset = true
+		save.From = 0
+		save.Entries = nil
+	}
+	r.durable.Snapshot = s
 	r.commit = s.GetIndex()
 	r.applied = s.GetIndex()
 	r.effects.Restore = s
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -74,7 +74,7 @@
 	// Nil leaves them unchanged.
 	Snapshot *messenger.Snapshot
 	// Reset deletes all stored entries. It is set when Snapshot came from the
-	// leader.
+	// leader and the log does not match it at its index.
 	Reset bool
 }
 
