pkg/administrator, internal/operator: report unknown outcomes as unknown

Cause: Client.call took back an unknown outcome if the last replica refused the connection, encodeError gave every error that is not an API error the state not-taken, and a change without an id got a new one at each replica, so that a resend was another change.

Ruled out: errors of decoding, authorization and rendering, which are API errors with a state of their own; reads, which stay not-taken.

Before: TestUnknownOutcomeStays, TestAvailableReplicaIsPreferred (3 requests wait instead of 1), TestChangeIDIsGenerated and TestUnknownOutcome fail. After: they pass.

--- a/integration/call_test.go
+++ b/integration/call_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"syscall"
@@ -31,6 +32,15 @@
 	}
 }
 
+// waitForAnswers waits until n more calls have been answered.
+func (l *load) waitForAnswers(n int) {
+	l.m.t.Helper()
+	before := l.Answered()
+	l.m.waitUntil(fmt.Sprintf("%d more calls are answered", n), startTimeout, func() bool {
+		return l.Answered() >= before+n
+	})
+}
+
 // finish stops the callers and fails the test on each violated invariant.
 func (l *load) finish() auditor.Report {
 	l.m.t.Helper()
--- a/integration/key_test.go
+++ b/integration/key_test.go
@@ -93,8 +93,13 @@
 	m.is.True(report.Answered > 100)
 }
 
+// answersPerRound is the number of calls that must be answered after the faults
+// of a round have ended.
+const answersPerRound = 40
+
 // injectFaultsKeyed kills nodes and targets, suspends nodes, isolates zones and
-// makes connections unresponsive under calls with keys.
+// makes connections unresponsive under calls with keys. After each round of
+// faults calls must be answered again.
 func (m *mesh) injectFaultsKeyed() {
 	l := m.startKeyedLoad(12)
 	for i := range 3 {
@@ -110,6 +115,7 @@
 		time.Sleep(500 * time.Millisecond)
 		m.nodes[(2*i+3)%6].Signal(syscall.SIGCONT)
 		m.is.NoErr(m.Restart(m.targets[2*i+1]))
+		l.waitForAnswers(answersPerRound)
 	}
 	report := l.finish()
 	m.is.True(report.Answered > 100)
--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -208,6 +208,19 @@
 	return result
 }
 
+// Answered returns the number of calls with the outcome answered so far.
+func (a *Auditor) Answered() int {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	answered := 0
+	for _, result := range a.calls {
+		if result.outcome == fireflymoor.Answered.String() {
+			answered++
+		}
+	}
+	return answered
+}
+
 // TakeSlowest returns the longest duration of a call since the last TakeSlowest.
 func (a *Auditor) TakeSlowest() time.Duration {
 	a.lock.Lock()
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -27,6 +27,7 @@
 const (
 	tokenKey contextKey = iota
 	operatorKey
+	methodKey
 )
 
 // operatorOf returns the team of the request's token, or "" before authorization.
@@ -48,7 +49,7 @@
 			authorize(tokens, scopeOf)(e),
 			decode,
 			httptransport.EncodeJSONResponse,
-			httptransport.ServerBefore(withToken),
+			httptransport.ServerBefore(withToken, withMethod),
 			httptransport.ServerErrorEncoder(encodeError),
 		))
 	}
@@ -104,6 +105,11 @@
 	return context.WithValue(ctx, tokenKey, token)
 }
 
+// withMethod stores the request's method in the context.
+func withMethod(ctx context.Context, r *http.Request) context.Context {
+	return context.WithValue(ctx, methodKey, r.Method)
+}
+
 // authorize returns a middleware that accepts a request if its token is that of
 // the team given by scopeOf or that for all teams.
 func authorize(tokens map[string]string, scopeOf scopeFunc) endpoint.Middleware {
@@ -181,13 +187,18 @@
 }
 
 // encodeError writes an error as a JSON response. An error that is not an
-// *administrator.Error gets the code CodeUnavailable.
-func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+// *administrator.Error gets the code CodeUnavailable. The request may have had an
+// effect then, unless it only reads.
+func encodeError(ctx context.Context, err error, w http.ResponseWriter) {
 	apiErr := &administrator.Error{}
 	if !errors.As(err, &apiErr) {
+		state := administrator.Unknown
+		if ctx.Value(methodKey) == http.MethodGet {
+			state = administrator.NotTaken
+		}
 		apiErr = &administrator.Error{
 			Code:   administrator.CodeUnavailable,
-			State:  administrator.NotTaken,
+			State:  state,
 			Step:   "operator",
 			Reason: err.Error(),
 		}
--- a/pkg/administrator/client.go
+++ b/pkg/administrator/client.go
@@ -7,21 +7,26 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 )
 
 // maxResponse bounds the size of a response body, in bytes.
 const maxResponse = 16 << 20
 
 // A Client calls the administration API. It tries the replicas in order until
-// one is available.
+// one is available, beginning with the one that was available last. It is safe
+// for concurrent use.
 type Client struct {
 	addresses []string
 	token     string
 	client    *http.Client
+	// preferred is the index of the address to try first.
+	preferred atomic.Int64
 }
 
 // New returns a Client of the replicas at addresses, each IP:PORT. It sends token
@@ -38,9 +43,12 @@
 
 // Change replaces a team's inputs. It sends the request to each replica in turn
 // until one is available, which is safe because the change ID makes the change
-// idempotent.
+// idempotent. A change without an ID gets one.
 func (c *Client) Change(ctx context.Context, request ChangeRequest) (ChangeResponse, error) {
 	response := ChangeResponse{}
+	if request.ChangeID == "" {
+		request.ChangeID = uuid.NewString()
+	}
 	err := c.call(ctx, http.MethodPost, "/v1/teams/"+url.PathEscape(request.Team)+"/changes", request, &response)
 	return response, err
 }
@@ -112,37 +120,49 @@
 func (c *Client) call(ctx context.Context, method, path string, request, response any) error {
 	var last error
 	unknown := false
-	for _, address := range c.addresses {
-		err := c.callOne(ctx, address, method, path, request, response)
+	first := int(c.preferred.Load())
+	for i := range c.addresses {
+		index := (first + i) % len(c.addresses)
+		err := c.callOne(ctx, c.addresses[index], method, path, request, response)
 		apiErr := &Error{}
 		if err == nil {
+			c.preferred.Store(int64(index))
 			return nil
 		}
-		if errors.As(err, &apiErr) && apiErr.Code != CodeUnavailable {
+		isAPIError := errors.As(err, &apiErr)
+		if isAPIError && apiErr.Code != CodeUnavailable {
 			return err
 		}
-		unknown = unknown || !errors.As(err, &apiErr) || apiErr.State == Unknown
+		if isAPIError {
+			unknown = unknown || apiErr.State == Unknown
+		} else {
+			unknown = unknown || !refused(err)
+		}
 		last = err
 		if ctx.Err() != nil {
 			break
 		}
 	}
 	state := NotTaken
-	if unknown && method != http.MethodGet && !refused(last) {
+	if unknown && method != http.MethodGet {
 		state = Unknown
 	}
+	reason := "no replica's address is given"
+	if last != nil {
+		reason = "no replica is available: " + last.Error()
+	}
 	return &Error{
 		Code:   CodeUnavailable,
 		State:  state,
 		Step:   "administrator",
-		Reason: "no replica is available: " + last.Error(),
+		Reason: reason,
 	}
 }
 
 // refused reports whether the connection was refused, so that the request was
 // not sent.
 func refused(err error) bool {
-	return strings.Contains(err.Error(), "connection refused")
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 func (c *Client) callOne(ctx context.Context, address, method, path string, request, response any) error {
