internal/controller: suspend a replica whose disk refuses a write

Now a write that leaves the stored state as it was (the id of the file's last transaction is unchanged) suspends the replica: the step is discarded, the replica returns to the state on disk and neither votes, leads nor acknowledges. It refuses changes at once, passes reads on, probes the disk and resumes. A file that exists is opened without a write.

Ruled out: going on after any failed write. If the sync of the file's first page fails, it is not known which state is on disk, and a later write may reuse pages of the older one; the process still ends then.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -32,8 +32,13 @@
 	readRetryInterval = 50 * time.Millisecond
 	// entriesPerSnapshot is the number of applied entries between snapshots.
 	entriesPerSnapshot = 100
-	// exitStatusDisk is the exit status of the process after a disk error or
-	// an unreadable snapshot.
+	// initialProbeInterval is the time after which a disk that refused a write is
+	// probed. It doubles up to maxProbeInterval with each probe that fails, and
+	// with each write that is refused soon after a probe succeeded.
+	initialProbeInterval = 500 * time.Millisecond
+	maxProbeInterval     = 4 * time.Second
+	// exitStatusDisk is the exit status of the process after a disk error that
+	// leaves the stored state unknown, or an unreadable snapshot.
 	exitStatusDisk = 71
 )
 
@@ -90,6 +95,7 @@
 	pendingReads map[uint64]*pendingRead
 	lastToken    uint64
 	role         replicator.Role
+	disk         diskState
 }
 
 // pendingRead is a read that waits for its index to be confirmed and applied.
@@ -126,6 +132,7 @@
 func (c *Controller) Run(ctx context.Context) {
 	c.options.Sequencer.Post(c.publishAccepted)
 	c.options.Sequencer.Every(ctx, tickInterval, func() {
+		c.probeDisk(time.Now())
 		c.handle(c.replicator.Tick(time.Now()))
 	})
 }
@@ -143,8 +150,8 @@
 func (c *Controller) handle(effects replicator.Effects) {
 	if effects.Save != nil {
 		if err := c.options.Persister.Save(*effects.Save); err != nil {
-			c.options.Log.Error().Err(err).Msg("control: the disk failed")
-			c.options.Exit(exitStatusDisk)
+			c.suspend(err, sizeOf(effects.Save))
+			return
 		}
 	}
 	for _, m := range effects.Messages {
@@ -265,22 +272,31 @@
 		if outcome != nil {
 			return checkReuse(outcome, change)
 		}
+		if errors.Is(err, replicator.ErrSuspended) {
+			return nil, c.abandon(change.GetId(), result, sent)
+		}
 		select {
 		case record := <-result:
 			return checkReuse(record, change)
 		case <-time.After(changeRetryInterval):
 		case <-ctx.Done():
-			c.options.Sequencer.Post(func() {
-				c.removeWaiter(change.GetId(), result)
-			})
-			if sent {
-				return nil, ErrUnknown
-			}
-			return nil, ErrNotSent
+			return nil, c.abandon(change.GetId(), result, sent)
 		}
 	}
 }
 
+// abandon ends the wait for the outcome of a change, and returns the error to
+// report.
+func (c *Controller) abandon(id string, result chan *messenger.ChangeRecord, sent bool) error {
+	c.options.Sequencer.Post(func() {
+		c.removeWaiter(id, result)
+	})
+	if sent {
+		return ErrUnknown
+	}
+	return ErrNotSent
+}
+
 func checkReuse(record *messenger.ChangeRecord, change *messenger.Change) (*messenger.ChangeRecord, error) {
 	if string(record.GetDigest()) != string(recorder.Digest(change)) {
 		return nil, ErrReused
@@ -298,6 +314,10 @@
 		if outcome != nil {
 			return
 		}
+		if c.replicator.Suspended() {
+			proposeErr = replicator.ErrSuspended
+			return
+		}
 		c.addWaiter(change.GetId(), result)
 		var effects replicator.Effects
 		effects, proposeErr = c.replicator.Propose(data, time.Now())
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -29,9 +29,14 @@
 // the test calls the returned function. The function published is called with
 // the number of each version that is published.
 func startReplica(t *testing.T, folder string, published func(number uint64)) (*Controller, func()) {
-	is := is.New(t)
 	disk, err := persister.New(folder)
-	is.NoErr(err)
+	is.New(t).NoErr(err)
+	return startReplicaOn(t, disk, published)
+}
+
+// startReplicaOn is startReplica with an open disk.
+func startReplicaOn(t *testing.T, disk persister.Persister, published func(number uint64)) (*Controller, func()) {
+	is := is.New(t)
 	registry := prometheus.NewRegistry()
 	ctx, cancel := context.WithCancel(t.Context())
 	s := sequencer.New()
--- a/internal/persister/persister.go
+++ b/internal/persister/persister.go
@@ -35,9 +35,14 @@
 	voteKey     = []byte("vote")
 	snapshotKey = []byte("snapshot")
 	allBuckets  = [][]byte{metaBucket, logBucket}
+	probeKey    = []byte("probe")
 	errNoDiskID = errors.New("persister: the file has no disk id")
 )
 
+// ErrUnchanged marks an error of Save or Probe after which the file still holds
+// the state that it held before, so that the process may go on.
+var ErrUnchanged = errors.New("the stored state is unchanged")
+
 // A Persister stores one replica's term, vote, log and snapshot.
 type Persister interface {
 	// Disk returns the disk's id, which was assigned when the file was
@@ -46,8 +51,12 @@
 	// Load returns the saved state. It fails if the state cannot be decoded
 	// or the entries have a gap.
 	Load() (replicator.DurableState, error)
-	// Save writes and syncs. After an error the process must end.
+	// Save writes and syncs. After an error that is not marked with ErrUnchanged
+	// the process must end, as it is not known what the file holds.
 	Save(save replicator.Save) error
+	// Probe writes and syncs a number of bytes and deletes them again, to find out
+	// whether a Save of that size would succeed. Its errors are those of Save.
+	Probe(size int) error
 	// Backup writes a consistent copy to a new file at path.
 	Backup(path string) error
 	// Close closes the file.
@@ -80,9 +89,13 @@
 	return p, nil
 }
 
-// initialize creates the buckets and the disk id of a new file, and reads the
-// disk id.
+// initialize reads the disk id. It creates the buckets and the disk id first if
+// the file is new. An existing file is not written, so that a replica whose disk
+// is full can start.
 func (p *persister) initialize() error {
+	if err := p.readDiskID(); err == nil {
+		return nil
+	}
 	err := p.db.Update(func(tx *bolt.Tx) error {
 		for _, name := range allBuckets {
 			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
@@ -98,7 +111,18 @@
 	if err != nil {
 		return errors.Wrap(err, "persister: initialize the file")
 	}
+	return p.readDiskID()
+}
+
+// readDiskID reads the disk id. It returns errNoDiskID if a part of the file is
+// missing.
+func (p *persister) readDiskID() error {
 	return p.db.View(func(tx *bolt.Tx) error {
+		for _, name := range allBuckets {
+			if tx.Bucket(name) == nil {
+				return errNoDiskID
+			}
+		}
 		p.disk = string(tx.Bucket(metaBucket).Get(diskKey))
 		if p.disk == "" {
 			return errNoDiskID
@@ -153,9 +177,52 @@
 	return nil
 }
 
+// update runs a transaction. If it fails and the file's last transaction is still
+// the one before, the error is marked with ErrUnchanged: pages that a failed
+// transaction wrote are not referenced. Otherwise the error came after the file
+// began to refer to the new pages, and it is not known which of them are on disk.
+func (p *persister) update(write func(tx *bolt.Tx) error) error {
+	before, err := p.lastTransaction()
+	if err != nil {
+		return err
+	}
+	err = p.db.Update(write)
+	if err == nil {
+		return nil
+	}
+	after, readErr := p.lastTransaction()
+	if readErr == nil && after == before {
+		err = errors.Mark(err, ErrUnchanged)
+	}
+	return err
+}
+
+// lastTransaction returns the id of the file's last transaction.
+func (p *persister) lastTransaction() (int, error) {
+	id := 0
+	err := p.db.View(func(tx *bolt.Tx) error {
+		id = tx.ID()
+		return nil
+	})
+	return id, errors.Wrap(err, "read the transaction id")
+}
+
+// Probe implements Persister.
+func (p *persister) Probe(size int) error {
+	err := p.update(func(tx *bolt.Tx) error {
+		return tx.Bucket(metaBucket).Put(probeKey, make([]byte, size))
+	})
+	if err == nil {
+		err = p.update(func(tx *bolt.Tx) error {
+			return tx.Bucket(metaBucket).Delete(probeKey)
+		})
+	}
+	return errors.Wrap(err, "persister: probe")
+}
+
 // Save implements Persister.
 func (p *persister) Save(save replicator.Save) error {
-	err := p.db.Update(func(tx *bolt.Tx) error {
+	err := p.update(func(tx *bolt.Tx) error {
 		meta := tx.Bucket(metaBucket)
 		if err := meta.Put(termKey, encodeUint64(save.Term)); err != nil {
 			return errors.Wrap(err, "write the term")
--- a/internal/persister/persister_test.go
+++ b/internal/persister/persister_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
@@ -83,3 +84,56 @@
 	_, err = New(corrupt)
 	is.True(err != nil)
 }
+
+// TestFullDisk limits the size of the file. A write that does not fit must fail
+// without changing what is stored, and writes must succeed again once there is
+// room.
+func TestFullDisk(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	opened, err := New(folder)
+	is.NoErr(err)
+	p := opened.(*persister)
+	is.NoErr(p.Save(replicator.Save{Term: 1, Vote: "a", From: 1, Entries: entries(1, 1, 10)}))
+	info, err := os.Stat(filepath.Join(folder, fileName))
+	is.NoErr(err)
+	p.db.MaxSize = int(info.Size())
+	big := replicator.Save{Term: 2, From: 11, Entries: []*messenger.Entry{
+		{Index: 11, Term: 2, Data: make([]byte, 1<<20)},
+	}}
+	err = p.Save(big)
+	is.True(errors.Is(err, ErrUnchanged))
+	is.True(errors.Is(p.Probe(1<<20), ErrUnchanged))
+	durable, err := p.Load()
+	is.NoErr(err)
+	is.Equal(durable.Term, uint64(1))
+	is.Equal(len(durable.Entries), 10)
+	is.NoErr(p.Close())
+	opened, err = New(folder) // an existing file opens without a write
+	is.NoErr(err)
+	p = opened.(*persister)
+	is.NoErr(p.Probe(1 << 20))
+	is.NoErr(p.Save(big))
+	durable, err = p.Load()
+	is.NoErr(err)
+	is.Equal(len(durable.Entries), 11)
+	is.NoErr(p.Close())
+}
+
+// TestStartWithoutWrite opens an existing file, which must not be written: the
+// disk may be full.
+func TestStartWithoutWrite(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	p, err := New(folder)
+	is.NoErr(err)
+	is.NoErr(p.Close())
+	before, err := os.ReadFile(filepath.Join(folder, fileName))
+	is.NoErr(err)
+	p, err = New(folder)
+	is.NoErr(err)
+	is.NoErr(p.Close())
+	after, err := os.ReadFile(filepath.Join(folder, fileName))
+	is.NoErr(err)
+	is.Equal(string(after), string(before))
+}
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -51,8 +51,13 @@
 	durable   DurableState
 	up        bool
 	frozen    bool
-	state     []string
-	applied   uint64
+	// full reports whether the disk refuses writes. writes counts the writes,
+	// and failAt is the number of the write from which on they fail, or zero.
+	full    bool
+	writes  int
+	failAt  int
+	state   []string
+	applied uint64
 	*Replicator
 }
 
@@ -159,9 +164,18 @@
 	m.frozen = false
 }
 
-// handle carries out effects. A simulated crash comes only after the save.
+// handle carries out effects. A simulated crash comes only after the save. If the
+// disk refuses the save, the replica is suspended and nothing else is done.
 func (c *cluster) handle(m *testReplica, effects Effects) {
 	if effects.Save != nil {
+		m.writes++
+		m.full = m.full || m.writes == m.failAt
+		if m.full {
+			durable := m.durable
+			durable.Entries = slices.Clone(durable.Entries)
+			m.Suspend(durable, m.applied)
+			return
+		}
 		m.save(*effects.Save)
 	}
 	for _, message := range effects.Messages {
@@ -337,12 +351,21 @@
 	for _, name := range c.names {
 		m := c.replicas[name]
 		m.frozen = false
+		c.freeDisk(m)
 		if !m.up {
 			c.start(m)
 		}
 	}
 }
 
+// freeDisk lets a replica's disk take writes again.
+func (c *cluster) freeDisk(m *testReplica) {
+	m.full = false
+	if m.up && m.Suspended() {
+		m.Resume(c.now)
+	}
+}
+
 // isolate blocks all messages to a replica and, if bothWays, all messages from
 // it.
 func (c *cluster) isolate(name string, bothWays bool) {
--- a/internal/replicator/read.go
+++ b/internal/replicator/read.go
@@ -14,6 +14,14 @@
 	}
 }
 
+// onReadReply completes a read that the leader has confirmed.
+func (r *Replicator) onReadReply(m *messenger.ReplicaMessage) {
+	r.effects.Reads = append(r.effects.Reads, Read{
+		Token: m.GetToken(),
+		Index: m.GetIndex(),
+	})
+}
+
 // queueRead adds a read to the next round. Until an entry of the leader's
 // current term is committed, the read is dropped and the reader must retry.
 func (r *Replicator) queueRead(token uint64, from string, now time.Time) {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -18,6 +18,9 @@
 // ErrNoLeader is returned for a proposal or a read when no leader is known.
 var ErrNoLeader = errors.New("no leader is known")
 
+// ErrSuspended is returned if the disk takes no writes.
+var ErrSuspended = errors.New("the disk takes no writes")
+
 // initialElectionDivisor divides the minimum election timeout to give the
 // maximum delay before the first election of a replica that has just started.
 // A short delay is safe: the other replicas refuse pre-votes while they have a
@@ -62,12 +65,15 @@
 	durable DurableState
 	peers   map[string]Peer
 
-	role     Role
-	leader   string
-	commit   uint64
-	applied  uint64
-	votes    map[string]bool
-	progress map[string]*progress
+	// suspended reports whether the disk refused a write and the replica takes
+	// no part in the log.
+	suspended bool
+	role      Role
+	leader    string
+	commit    uint64
+	applied   uint64
+	votes     map[string]bool
+	progress  map[string]*progress
 	// round counts the leader's broadcasts to all peers. Replies repeat it.
 	round uint64
 	// pendingReads are the reads of the current round.
@@ -143,6 +149,9 @@
 	if !r.Blank() {
 		return Effects{}, errors.New("the disk holds a log already")
 	}
+	if r.suspended {
+		return Effects{}, ErrSuspended
+	}
 	r.setTerm(1, "")
 	members := slices.Clone(initial)
 	slices.SortFunc(members, func(a, b *messenger.Member) int {
@@ -158,7 +167,7 @@
 
 // Status returns the replica's view of the log.
 func (r *Replicator) Status(now time.Time) Status {
-	quorum := r.role != Leader && r.leader != "" && now.Sub(r.leaderContact) < r.config.MinElectionTimeout
+	quorum := !r.suspended && r.role != Leader && r.leader != "" && now.Sub(r.leaderContact) < r.config.MinElectionTimeout
 	if r.role == Leader {
 		quorum = r.hasQuorumContact(now)
 	}
@@ -171,12 +180,17 @@
 		Members: r.members(),
 		Voter:   r.countsInQuorum(r.config.Name, r.config.Disk),
 		Quorum:  quorum,
+
+		Suspended: r.suspended,
 	}
 }
 
 // Tick starts an election or sends heartbeats if they are due at now. A leader
 // that has lost contact with a quorum steps down.
 func (r *Replicator) Tick(now time.Time) Effects {
+	if r.suspended {
+		return r.takeEffects()
+	}
 	if r.role == Leader {
 		r.tickLeader(now)
 		return r.takeEffects()
@@ -231,7 +245,7 @@
 // Compact replaces the log up to and including index by a snapshot with state.
 // It does nothing if index is not applied or is already in a snapshot.
 func (r *Replicator) Compact(index uint64, state []byte) Effects {
-	if index > r.applied || index <= r.snapshotIndex() {
+	if r.suspended || index > r.applied || index <= r.snapshotIndex() {
 		return Effects{}
 	}
 	snapshot := &messenger.Snapshot{
@@ -248,6 +262,10 @@
 
 // Step processes one message from another replica.
 func (r *Replicator) Step(m *messenger.ReplicaMessage, now time.Time) Effects {
+	if r.suspended {
+		r.stepSuspended(m, now)
+		return r.takeEffects()
+	}
 	switch m.GetKind() {
 	case messenger.ReplicaMessageKind_PRE_VOTE:
 		r.onPreVote(m, now)
@@ -258,10 +276,7 @@
 	case messenger.ReplicaMessageKind_READ:
 		r.onRead(m, now)
 	case messenger.ReplicaMessageKind_READ_REPLY:
-		r.effects.Reads = append(r.effects.Reads, Read{
-			Token: m.GetToken(),
-			Index: m.GetIndex(),
-		})
+		r.onReadReply(m)
 	default:
 		r.stepInTerm(m, now)
 	}
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -121,6 +121,9 @@
 	// election timeout. A leader counts the members that it received messages
 	// from. Any other replica needs to have received a message from a leader.
 	Quorum bool
+	// Suspended reports whether the replica takes no part in the log because its
+	// disk refused a write.
+	Suspended bool
 }
 
 // A Peer is a replica that the log may be replicated to.
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -142,7 +142,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), quorumTimeout)
 	defer cancel()
 	err := c.sequencer.Do(ctx, func() {
-		if !c.controller.Status().Quorum {
+		status := c.controller.Status()
+		switch {
+		case status.Suspended:
+			reason = "the disk takes no writes"
+		case !status.Quorum:
 			reason = "no quorum"
 		}
 	})
