internal/replicator: keep the size when a founding replica gets a new disk

Cause: a member whose disk has changed is removed with the size unchanged, and its admission added one, as it is a founding replica. A later replacement then filled the size without the removal of the failed member.

Ruled out: the admission of founding replicas that are not initial members, which must raise the size (TestFoundingReplicasIncreaseSize).

Before: TestFoundingReplicaWithNewDisk fails, '4 != 3'. After: it passes. Left: if another replica is admitted in the place of the removed one first, the founding one still raises the size when it returns.

--- a/internal/replicator/replace_test.go
+++ b/internal/replicator/replace_test.go
@@ -145,3 +145,32 @@
 	c.checkConvergence()
 	is.True(len(c.reads) >= 95) // all but the last reads are confirmed
 }
+
+// TestFoundingReplicaWithNewDisk gives a founding replica a new disk, and later
+// replaces it by another replica. The size must stay, so that the replaced one is
+// removed.
+func TestFoundingReplicaWithNewDisk(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(30) {
+		c := newBlankCluster(t, seed, 3, false)
+		c.updatePeers(c.names)
+		c.bootstrapWithSize("a", 3, c.names...)
+		c.waitForAllMembers()
+		c.commit("first")
+		m := c.replicas["c"]
+		c.kill(m)
+		c.newDisk(m)
+		c.start(m)
+		c.updatePeers(c.names)
+		c.waitUntil("the admission of the new disk", func() bool {
+			leader := c.leader()
+			return leader != nil && leader.countsInQuorum("c", m.disk) && c.isMember("c")
+		})
+		is.Equal(c.leader().membership().GetSize(), uint32(3))
+		c.kill(m)
+		c.addReplica("d")
+		c.waitUntil("the replacement of c by d", func() bool {
+			return c.isMember("d") && !c.isMember("c")
+		})
+	}
+}
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -283,11 +283,13 @@
 	r.removeUnresponsive(now)
 }
 
-// admit proposes a replica as a member.
+// admit proposes a replica as a member. A founding replica increases the size,
+// unless it takes the place of a member that was removed, such as itself with an
+// earlier disk.
 func (r *Replicator) admit(name, disk string) {
 	peer := r.peers[name]
 	size := r.membership().GetSize()
-	if size > 0 && peer.Founding {
+	if size > 0 && peer.Founding && len(r.members()) >= int(size) {
 		size++
 	}
 	r.proposeMembers(append(slices.Clone(r.members()), &messenger.Member{
