internal/registrar, internal/forwarder: report calls that may have been evicted as unknown

Cause: a call that ended is evicted after 15 s, and a call that is not recorded was reported as refused, so that a first query that came later let a retry run it again. Eviction went by arrival and stopped at the oldest running call, so that one long call kept all later records. A watch that had begun went on querying beside resolve.

Now a query tells the age of the call. A call that is not recorded and is older than half the window is unknown. Ended calls are evicted in the order of their ends. The watch ends with the call's connection, with the query that it is making.

Ruled out: a longer window (memory grows with the rate of calls, and a longer outage is always possible).

A query without an age, from an older build, is answered as before.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,8 @@
 const (
 	QueryID   = "id"
 	QueryBoot = "boot"
+	// QueryAge is the time since the call was sent, in milliseconds.
+	QueryAge = "age"
 )
 
 // errResolved cancels a call whose outcome was received over another
@@ -131,6 +134,14 @@
 	}
 }
 
+// stateQuery identifies a call whose state is queried.
+type stateQuery struct {
+	id     string
+	target fireflymoor.Target
+	// sentAt is when the call was sent, or earlier.
+	sentAt time.Time
+}
+
 // resolution is the state of a call as its target's node reports it.
 type resolution struct {
 	state    registrar.State
@@ -145,16 +156,27 @@
 
 // Forward implements fireflymoor.Forwarder.
 func (f *Remote) Forward(ctx context.Context, target fireflymoor.Target, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
+	query := stateQuery{
+		target: target,
+		sentAt: time.Now(),
+	}
 	sendContext, cancel := context.WithCancelCause(ctx)
 	out := sender.Prepare(sendContext, in, target.Address, in.Body, in.ContentLength)
+	query.id = out.Header.Get(annotator.CallID)
 	resolved := make(chan resolution, 1)
 	settled := &atomic.Bool{}
+	watchContext, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
 	timer := time.AfterFunc(max(minQueryDelay, annotator.Milliseconds(in.Header, annotator.Objective)), func() {
-		f.watch(ctx, target, out.Header.Get(annotator.CallID), settled, resolved, cancel)
+		f.watch(watchContext, query, settled, resolved, cancel)
 	})
 	response, outcome, err := sender.Send(f.transport(target.Address), out)
 	timer.Stop()
-	if err == nil && !settled.CompareAndSwap(false, true) {
+	isResolved := !settled.CompareAndSwap(false, true)
+	if !isResolved {
+		stopWatch()
+	}
+	if err == nil && isResolved {
 		_ = response.Body.Close()
 		return resolvedResult(<-resolved, errResolved)
 	}
@@ -163,30 +185,29 @@
 			ReadCloser: response.Body,
 			cancel:     cancel,
 		}
-		return f.checkResponse(response, out.Header.Get(annotator.CallID))
+		return f.checkResponse(response, query.id)
 	}
-	cancelled := errors.Is(context.Cause(sendContext), errResolved)
 	cancel(nil)
-	if outcome == fireflymoor.NotRun && !cancelled {
-		return nil, outcome, err
-	}
-	if cancelled {
+	if isResolved {
 		return resolvedResult(<-resolved, err)
 	}
+	if outcome == fireflymoor.NotRun {
+		return nil, outcome, err
+	}
 	f.dropConnections(target.Address)
 	if ctx.Err() != nil || out.Header.Get(annotator.Once) == "" {
 		return nil, fireflymoor.Unknown, err
 	}
-	return f.resolve(ctx, target, out.Header.Get(annotator.CallID), err)
+	return f.resolve(ctx, query, err)
 }
 
 // watch queries the target's node for a call that got no response yet, until
 // the call is resolved. Either the response itself or the reported state
 // settles the call, whichever arrives first.
-func (f *Remote) watch(ctx context.Context, target fireflymoor.Target, id string, settled *atomic.Bool, resolved chan<- resolution, cancel context.CancelCauseFunc) {
+func (f *Remote) watch(ctx context.Context, query stateQuery, settled *atomic.Bool, resolved chan<- resolution, cancel context.CancelCauseFunc) {
 	wait := initialQueryInterval
 	for ctx.Err() == nil && !settled.Load() {
-		r, err := f.queryState(ctx, target, id)
+		r, err := f.queryState(ctx, query)
 		if err == nil && r.state != registrar.Running {
 			if r.inTransit() {
 				waiter.Pause(ctx, transitTime)
@@ -194,7 +215,7 @@
 			if !settled.CompareAndSwap(false, true) {
 				return
 			}
-			f.dropConnections(target.Address)
+			f.dropConnections(query.target.Address)
 			resolved <- r
 			cancel(errResolved)
 			return
@@ -205,10 +226,10 @@
 }
 
 // resolve queries the target's node for a call whose connection broke.
-func (f *Remote) resolve(ctx context.Context, target fireflymoor.Target, id string, cause error) (*http.Response, fireflymoor.Outcome, error) {
+func (f *Remote) resolve(ctx context.Context, query stateQuery, cause error) (*http.Response, fireflymoor.Outcome, error) {
 	deadline := time.Now().Add(resolveTimeout)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
-		r, err := f.queryState(ctx, target, id)
+		r, err := f.queryState(ctx, query)
 		switch {
 		case err == nil && r.state == registrar.Running:
 			deadline = time.Now().Add(resolveTimeout)
@@ -236,30 +257,31 @@
 
 // queryState queries the target's node for the state of a call over a new
 // connection.
-func (f *Remote) queryState(ctx context.Context, target fireflymoor.Target, id string) (resolution, error) {
+func (f *Remote) queryState(ctx context.Context, q stateQuery) (resolution, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	query := url.Values{}
-	query.Set(QueryID, id)
-	query.Set(QueryBoot, formatBoot(target.Boot))
-	address := "http://" + target.Address + RevokePath + "?" + query.Encode()
+	query.Set(QueryID, q.id)
+	query.Set(QueryBoot, formatBoot(q.target.Boot))
+	query.Set(QueryAge, strconv.FormatInt(time.Since(q.sentAt).Milliseconds(), 10))
+	address := "http://" + q.target.Address + RevokePath + "?" + query.Encode()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, http.NoBody)
 	if err != nil {
-		return resolution{}, errors.Wrapf(err, "forwarder %s: query the state of a call", target.Node)
+		return resolution{}, errors.Wrapf(err, "forwarder %s: query the state of a call", q.target.Node)
 	}
 	waitContext, cancelWait := context.WithTimeout(ctx, queryWait)
 	defer cancelWait()
 	annotator.SetDeadline(waitContext, request.Header)
 	response, err := f.queryTransport.RoundTrip(request)
 	if err != nil {
-		return resolution{}, errors.Wrapf(err, "forwarder %s: query the state of a call", target.Node)
+		return resolution{}, errors.Wrapf(err, "forwarder %s: query the state of a call", q.target.Node)
 	}
 	defer func() {
 		_ = response.Body.Close()
 	}()
 	body, err := io.ReadAll(io.LimitReader(response.Body, registrar.MaxBufferedBody+1))
 	if err != nil {
-		return resolution{}, errors.Wrapf(err, "forwarder %s: read the state of a call", target.Node)
+		return resolution{}, errors.Wrapf(err, "forwarder %s: read the state of a call", q.target.Node)
 	}
 	return readResolution(response, body), nil
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -154,3 +155,45 @@
 	is.Equal(string(body), "first last")
 	_ = response.Body.Close()
 }
+
+// TestOneQueryAtATime breaks the connection of a call while the node is queried
+// for the call. From then on only one query at a time may be made.
+func TestOneQueryAtATime(t *testing.T) {
+	const (
+		queryTime = 150 * time.Millisecond
+		queries   = 6
+	)
+	is := is.New(t)
+	var broken atomic.Bool
+	var inProgress, most, count atomic.Int64
+	node := httptest.NewServer(packer.New("node").Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path != RevokePath {
+			time.Sleep(minQueryDelay + queryTime)
+			time.AfterFunc(queryTime, func() { broken.Store(true) })
+			panic(http.ErrAbortHandler)
+		}
+		if broken.Load() {
+			most.Store(max(most.Load(), inProgress.Add(1)))
+			defer inProgress.Add(-1)
+			count.Add(1)
+		}
+		time.Sleep(queryTime)
+		state := registrar.Running
+		if count.Load() >= queries {
+			state = registrar.NotRun
+		}
+		w.Header().Set(StateHeader, string(state))
+	})))
+	node.Config.ErrorLog = log.New(io.Discard, "", 0)
+	defer node.Close()
+	f := NewRemote(dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())), packer.New("node"))
+	request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+	request.Header.Set(annotator.CallID, "call")
+	request.Header.Set(annotator.Once, "yes")
+	_, outcome, err := f.Forward(t.Context(), fireflymoor.Target{
+		Address: node.Listener.Addr().String(),
+	}, request)
+	is.True(err != nil)
+	is.Equal(outcome, fireflymoor.NotRun)
+	is.Equal(most.Load(), int64(1))
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -196,6 +196,11 @@
 		http.Error(w, "no call id or no deadline", http.StatusBadRequest)
 		return
 	}
+	age, err := strconv.ParseInt(query.Get(forwarder.QueryAge), 10, 64)
+	if err != nil && query.Has(forwarder.QueryAge) {
+		http.Error(w, "the age is no number of milliseconds", http.StatusBadRequest)
+		return
+	}
 	boot, err := strconv.ParseUint(query.Get(forwarder.QueryBoot), 10, 64)
 	if err != nil || !r.isBoot(boot) {
 		w.Header().Set(forwarder.StateHeader, string(registrar.Unknown))
@@ -203,7 +208,7 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), timeout)
 	defer cancel()
-	state, kept := r.registrar.Revoke(ctx, id, time.Now())
+	state, kept := r.registrar.Revoke(ctx, id, time.Duration(age)*time.Millisecond, time.Now())
 	r.log.Info().Str("call", id).Str("state", string(state)).Msg("receiver: asked after a call")
 	if kept != nil {
 		copyHeader(w.Header(), kept.Header)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -15,6 +15,10 @@
 const (
 	// window is how long a call is kept after its end.
 	window = 15 * time.Second
+	// maxQueryAge is the age above which a call that is not recorded may have
+	// ended and been evicted. It is less than window, as the age is measured
+	// before the query is sent.
+	maxQueryAge = window / 2
 	// refusalWindow is how long a refusal is kept. It is longer than a
 	// connection can stay open without receiving anything, so that a call that
 	// was delayed on the network cannot begin after it was reported as refused.
@@ -75,8 +79,11 @@
 type Registrar struct {
 	lock  sync.Mutex
 	calls map[string]*call
-	// order holds the ids of calls in the order of their arrival.
+	// order holds the ids of calls in the order of their arrival, and ended those
+	// of ended calls in the order of their ends. They may contain ids of calls
+	// that were evicted already.
 	order []string
+	ended []string
 	// keptBytes is the size of the bodies of all kept responses.
 	keptBytes int
 	// earlyEviction is when a call was last evicted before its window had
@@ -127,6 +134,7 @@
 	}
 	c.state = state
 	c.ended = now
+	r.ended = append(r.ended, id)
 	if response != nil && r.keptBytes+len(response.Body) <= maxResponseBytes {
 		c.response = response
 		r.keptBytes += len(response.Body)
@@ -134,16 +142,17 @@
 	close(c.done)
 }
 
-// Revoke returns the state of a call, and its response if that is kept. A call
-// that is not recorded is refused from now on, and Revoke returns Refused. If the
-// call may have begun or too many refusals are kept, Revoke returns Unknown
-// instead. For a running call, it waits until the call ends or ctx is done.
-func (r *Registrar) Revoke(ctx context.Context, id string, now time.Time) (State, *Response) {
+// Revoke returns the state of a call, and its response if that is kept. The age
+// is the time since the call was sent. A call that is not recorded is refused from
+// now on, and Revoke returns Refused. If the call may have begun or too many
+// refusals are kept, Revoke returns Unknown instead. For a running call, it waits
+// until the call ends or ctx is done.
+func (r *Registrar) Revoke(ctx context.Context, id string, age time.Duration, now time.Time) (State, *Response) {
 	r.lock.Lock()
 	c := r.calls[id]
 	if c == nil {
 		defer r.lock.Unlock()
-		return r.refuse(id, now), nil
+		return r.refuse(id, age, now), nil
 	}
 	c.queried = true
 	r.lock.Unlock()
@@ -165,43 +174,48 @@
 }
 
 // refuse records the refusal of a call. It returns Unknown if the call may have
-// been evicted early, or if too many refusals are kept.
-func (r *Registrar) refuse(id string, now time.Time) State {
+// been evicted, or if too many refusals are kept.
+func (r *Registrar) refuse(id string, age time.Duration, now time.Time) State {
 	for other, at := range r.refused {
 		if now.Sub(at) > refusalWindow {
 			delete(r.refused, other)
 		}
 	}
-	if now.Sub(r.earlyEviction) < window || len(r.refused) >= maxRefusals {
+	if age > maxQueryAge || now.Sub(r.earlyEviction) < window || len(r.refused) >= maxRefusals {
 		return Unknown
 	}
 	r.refused[id] = now
 	return Refused
 }
 
-// evict removes the calls that ended longer than window ago, and the oldest
-// calls if there are too many. It scans the calls in the order of their arrival
-// and stops at the first that it keeps.
+// evict removes the calls that ended longer than window ago, and the oldest calls
+// if there are too many.
 func (r *Registrar) evict(now time.Time) {
-	for len(r.order) > 0 {
-		c := r.calls[r.order[0]]
-		expired := !c.ended.IsZero() && now.Sub(c.ended) > window
-		if !expired && len(r.order) < maxCalls {
-			return
+	for len(r.ended) > 0 {
+		c := r.calls[r.ended[0]]
+		if c != nil && now.Sub(c.ended) <= window {
+			break
 		}
-		if !expired {
+		r.remove(r.ended[0])
+		r.ended = r.ended[1:]
+	}
+	for len(r.order) > 0 && (r.calls[r.order[0]] == nil || len(r.calls) >= maxCalls) {
+		if r.calls[r.order[0]] != nil {
 			r.earlyEviction = now
 		}
-		r.evictOldest()
+		r.remove(r.order[0])
+		r.order = r.order[1:]
 	}
 }
 
-// evictOldest removes the call that arrived first.
-func (r *Registrar) evictOldest() {
-	id := r.order[0]
-	if response := r.calls[id].response; response != nil {
-		r.keptBytes -= len(response.Body)
+// remove removes a call, if it is recorded.
+func (r *Registrar) remove(id string) {
+	c := r.calls[id]
+	if c == nil {
+		return
+	}
+	if c.response != nil {
+		r.keptBytes -= len(c.response.Body)
 	}
 	delete(r.calls, id)
-	r.order = r.order[1:]
 }
