internal/coordinator: let a fleet of 200 come up on links of 1 Mbit/s

Cause: at the start each fact went in full over every link of a zone (1.0 to 1.3 MB of facts sent by each node in 4 s, trial on the untouched code with a line of counters), each new link compared all facts, and neighbours were dialed as soon as one fact made them neighbours. Links of 1 Mbit/s were full, heartbeats and dials came late, live members were suspected and refuted it, which flooded more. Each node also synchronized its claims with every other, though the users' platform has no keys.

Now facts go along the ring and are offered elsewhere later; one comparison of facts a second; neighbours are dialed after 500 ms; a quiet peer is contacted over a new connection before it is suspected; dial timeouts do not count against a member that has just changed its fact, nor for a process with signs of a fault near itself; suspicions are bounded; views are rebuilt less often in large fleets; claims are kept only if [callers] keys is on, which the users' platform sets to no.

Ruled out: processors (idle at 0.05 of 0.16 cores before), the configuration (33 kB, in force by 4 s).

TestColdStart (200 members, fake clock): before, with its check of suspicions a member is suspected; without it all know all after 5.5 s, with 747,602 bytes sent at most and 317,369 of facts. TestLinksSettle closed 114 links while settling and none afterwards.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -103,6 +103,20 @@
 	return nil
 }
 
+// ChangedAt returns when the named member's fact last changed in this process, or
+// the zero time if there is none.
+func (a *Announcer) ChangedAt(name string) time.Time {
+	if r := a.facts[name]; r != nil {
+		return r.changedAt
+	}
+	return time.Time{}
+}
+
+// Len returns the number of facts.
+func (a *Announcer) Len() int {
+	return len(a.facts)
+}
+
 // Facts returns all facts, sorted by name.
 func (a *Announcer) Facts() []*messenger.Fact {
 	facts := make([]*messenger.Fact, 0, len(a.facts))
@@ -244,6 +258,9 @@
 	for name, r := range a.facts {
 		inactive := r.fact.GetState() != messenger.MemberState_MEMBER_ALIVE
 		if inactive && name != a.self && now.Sub(r.changedAt) > tombstoneRetention {
+			if address := r.fact.GetOverlayAddress(); a.nameByAddress[address] == name {
+				delete(a.nameByAddress, address)
+			}
 			a.drop(name)
 			dropped = true
 		}
--- a/internal/announcer/ring.go
+++ b/internal/announcer/ring.go
@@ -97,6 +97,36 @@
 	return nil
 }
 
+// Adjacent returns the two of the given members that are next to this process on
+// its zone's ring, one in each direction. The result has one name if they are the
+// same member, and none if no given member is on the ring.
+func (a *Announcer) Adjacent(among func(name string) bool) []string {
+	members := a.ring(a.Self().GetZone())
+	position := slices.IndexFunc(members, func(f *messenger.Fact) bool {
+		return f.GetName() == a.self
+	})
+	if position < 0 {
+		return nil
+	}
+	find := func(step int) string {
+		for i := 1; i < len(members); i++ {
+			name := members[(position+i*step+len(members)*i)%len(members)].GetName()
+			if among(name) {
+				return name
+			}
+		}
+		return ""
+	}
+	next, previous := find(1), find(-1)
+	if next == "" {
+		return nil
+	}
+	if next == previous {
+		return []string{next}
+	}
+	return []string{next, previous}
+}
+
 func (a *Announcer) makeNeighbours() []*messenger.Fact {
 	members := a.ring(a.Self().GetZone())
 	position := slices.IndexFunc(members, func(f *messenger.Fact) bool {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -68,7 +68,8 @@
 	// RefusalRate bounds the tries of a call by the share of recent tries that
 	// were refused.
 	RefusalRate *retrier.RefusalRate
-	// Claims prevents calls with the same idempotency key from running twice.
+	// Claims prevents calls with the same idempotency key from running twice. If
+	// it is nil, keys are passed on like any other header.
 	Claims Claims
 	// Metrics counts calls.
 	Metrics *Metrics
@@ -139,7 +140,7 @@
 	if metadata.TimeLeft > 0 {
 		timeout = min(timeout, metadata.TimeLeft)
 	}
-	key, ok := idempotencyKey(request, route)
+	key, ok := h.idempotencyKey(request, route)
 	if !ok {
 		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, fmt.Sprintf("the idempotency key is not one of 1 to %d bytes", maxKeyBytes))
 		return
--- a/internal/caller/idempotency.go
+++ b/internal/caller/idempotency.go
@@ -31,9 +31,9 @@
 
 // idempotencyKey returns the idempotency key of a call that must not repeat, or
 // the empty string. It reports false if the key is invalid.
-func idempotencyKey(request *http.Request, route fireflymoor.Route) (string, bool) {
+func (h *Handler) idempotencyKey(request *http.Request, route fireflymoor.Route) (string, bool) {
 	values := request.Header.Values(annotator.IdempotencyKey)
-	if len(values) == 0 || route.MayRepeat(request.Method) {
+	if h.options.Claims == nil || len(values) == 0 || route.MayRepeat(request.Method) {
 		return "", true
 	}
 	return values[0], len(values) == 1 && values[0] != "" && len(values[0]) <= maxKeyBytes
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,8 +24,16 @@
 
 const (
 	tickInterval = 100 * time.Millisecond
-	// flushDelay is how long facts are collected before they are sent together.
-	flushDelay = 15 * time.Millisecond
+	// flushDelay is how long facts are collected before they are sent together,
+	// and busyFlushDelay the same if others were sent within busyWindow.
+	flushDelay     = 15 * time.Millisecond
+	busyFlushDelay = 40 * time.Millisecond
+	busyWindow     = 250 * time.Millisecond
+	// minOfferDelay and maxOfferDelay bound the random time for which the keys of
+	// facts are collected before they are offered to the members of this zone that
+	// do not get the facts in full.
+	minOfferDelay = 200 * time.Millisecond
+	maxOfferDelay = 500 * time.Millisecond
 	// leaveDelay is the time allowed for sending the last fact before Run returns.
 	leaveDelay = 300 * time.Millisecond
 	// stallThreshold is the time between two ticks above which this process is
@@ -38,6 +47,10 @@
 	// digestMismatchThreshold is the number of consecutive heartbeats with a
 	// digest other than the local one after which facts are compared.
 	digestMismatchThreshold = 3
+	// digestInterval is the minimum time between two comparisons of facts that
+	// this process starts. A process that has just started gets the facts from one
+	// neighbour and not from each.
+	digestInterval = time.Second
 )
 
 // A Watcher is notified of changes, on the sequencer.
@@ -83,14 +96,21 @@
 	// of the facts.
 	pending        map[string]origin
 	flushScheduled bool
-	lastTick       time.Time
-	stalledAt      time.Time
-	joinDue        time.Time
-	joinAttempts   int
-	probeDue       time.Time
-	expireDue      time.Time
-	heldVersion    uint64
-	linkTimeouts   []time.Time
+	lastFlush      time.Time
+	// offers maps the names of members whose facts are to be offered to the
+	// neighbours that are known to hold them.
+	offers          map[string]map[string]bool
+	offersScheduled bool
+	digestSentAt    time.Time
+	health          health
+	lastTick        time.Time
+	stalledAt       time.Time
+	joinDue         time.Time
+	joinAttempts    int
+	probeDue        time.Time
+	expireDue       time.Time
+	heldVersion     uint64
+	linkTimeouts    []time.Time
 
 	admitLock sync.Mutex
 	admitter  *admitter.Admitter
@@ -110,7 +130,11 @@
 	dialFailures     int
 	dialBlockedUntil time.Time
 	suspectedAt      time.Time
+	wantedSince      time.Time
 	unwantedSince    time.Time
+	// answeredAt is when the member last responded over a new connection because
+	// the link to it was quiet.
+	answeredAt       time.Time
 	digestMismatches int
 }
 
@@ -130,6 +154,7 @@
 		links:       map[string]*linker.Link{},
 		peers:       map[string]*peer{},
 		pending:     map[string]origin{},
+		offers:      map[string]map[string]bool{},
 		admitter:    admitter.New(admitsPerSecond, admitRetrySpread, rand.New(rand.NewPCG(options.Random.Uint64(), 0))),
 		lastTick:    now,
 	}
@@ -243,19 +268,38 @@
 		return
 	}
 	c.flushScheduled = true
-	time.AfterFunc(flushDelay, func() {
+	delay := flushDelay
+	if time.Since(c.lastFlush) < busyWindow {
+		delay = busyFlushDelay
+	}
+	time.AfterFunc(delay, func() {
 		c.options.Sequencer.Post(c.flush)
 	})
 }
 
-// flush sends the queued facts over all links.
+// flush sends the queued facts. Within the zone they go in full along the ring
+// only, to the nearest linked member in each direction, so that each member
+// receives a fact about once. The other links of the zone get an offer some time
+// later, which bridges a gap in the ring.
 func (c *Coordinator) flush() {
 	c.flushScheduled = false
+	c.lastFlush = time.Now()
 	c.publish()
+	adjacent := c.announcer.Adjacent(func(name string) bool { return c.links[name] != nil })
 	for name, link := range c.links {
+		sameZone := link.Peer().GetZone() == c.announcer.Self().GetZone()
+		if sameZone && !slices.Contains(adjacent, name) {
+			continue
+		}
 		c.sendPending(name, link)
 	}
+	for fact, from := range c.pending {
+		c.offers[fact] = map[string]bool{
+			from.peer: true,
+		}
+	}
 	c.pending = map[string]origin{}
+	c.scheduleOffers()
 }
 
 // sendPending sends the pending facts to a neighbour. Facts received from other
@@ -279,13 +323,7 @@
 	if len(facts.GetFacts()) > 0 {
 		link.Send(factsFrame(facts))
 	}
-	if len(offer.GetKeys()) > 0 {
-		link.Send(&messenger.Frame{
-			Body: &messenger.Frame_Offer{
-				Offer: offer,
-			},
-		})
-	}
+	sendOffer(link, offer)
 }
 
 func factsFrame(facts *messenger.Facts) *messenger.Frame {
--- a/internal/coordinator/handler.go
+++ b/internal/coordinator/handler.go
@@ -121,7 +121,7 @@
 	c.options.Log.Debug().Str("peer", name).Bool("dialed", link.Dialed()).Msg("overlay: link up")
 	c.merge([]*messenger.Fact{link.Peer()}, name)
 	c.Apply(c.distributor.OnPeerUp(name, link.Head(), now))
-	if link.Dialed() {
+	if link.Dialed() && now.Sub(c.digestSentAt) > digestInterval {
 		c.sendDigest(link)
 	}
 }
@@ -137,7 +137,9 @@
 	return link.Dialed() == lesser
 }
 
+// sendDigest starts the comparison of facts with a neighbour.
 func (c *Coordinator) sendDigest(link *linker.Link) {
+	c.digestSentAt = time.Now()
 	link.Send(&messenger.Frame{
 		Body: &messenger.Frame_Digest{
 			Digest: &messenger.Digest{
@@ -197,7 +199,7 @@
 		return
 	}
 	p.digestMismatches++
-	if p.digestMismatches >= digestMismatchThreshold && link.Dialed() {
+	if p.digestMismatches >= digestMismatchThreshold && link.Dialed() && now.Sub(c.digestSentAt) > digestInterval {
 		p.digestMismatches = 0
 		c.sendDigest(link)
 	}
@@ -247,10 +249,12 @@
 		}
 		update := c.announcer.Merge(fact, now)
 		if update == nil {
+			c.markHolder(fact.GetName(), from)
 			continue
 		}
 		changed = true
 		if update.GetName() == c.announcer.Self().GetName() {
+			c.health.record(now)
 			c.flood(update, "")
 			continue
 		}
@@ -273,6 +277,27 @@
 		Msg("overlay: member changed")
 }
 
+// Quiet implements linker.Handler. The peer is contacted over a new connection: if
+// it responds, the fault is in the link, and the peer is not suspected when the
+// link times out.
+func (c *Coordinator) Quiet(link *linker.Link) {
+	c.options.Sequencer.Post(func() {
+		if c.links[link.Peer().GetName()] != link || c.ctx == nil {
+			return
+		}
+		go func() {
+			err := c.linker.Join(c.ctx, link.Peer().GetOverlayAddress())
+			later := &linker.RetryAfterError{}
+			if err != nil && !errors.As(err, &later) {
+				return
+			}
+			c.options.Sequencer.Post(func() {
+				c.peer(link.Peer().GetName()).answeredAt = time.Now()
+			})
+		}()
+	})
+}
+
 // Down implements linker.Handler.
 func (c *Coordinator) Down(link *linker.Link, err error) {
 	c.options.Sequencer.Post(func() {
@@ -292,9 +317,14 @@
 	if errors.Is(err, linker.ErrUnwanted) || errors.Is(err, linker.ErrReplaced) {
 		return
 	}
-	if errors.Is(err, linker.ErrTimeout) && !c.stalled(now) && !c.massTimeout(now) {
-		c.suspect(link.Peer(), now)
-		return
+	if errors.Is(err, linker.ErrTimeout) {
+		alive := now.Sub(c.peer(name).answeredAt) < probeValidity
+		trusted := !c.stalled(now) && !c.massTimeout(now) && c.health.good(now)
+		c.health.record(now)
+		if trusted && !alive {
+			c.suspect(link.Peer(), err, now)
+			return
+		}
 	}
 	if c.announcer.Fact(name).GetState() != messenger.MemberState_MEMBER_LEFT {
 		c.dial(link.Peer())
--- a/internal/coordinator/maintenance.go
+++ b/internal/coordinator/maintenance.go
@@ -17,11 +17,22 @@
 	// before jitter.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 1500 * time.Millisecond
+	// wantedLinkDelay is how long a member must be a neighbour before it is dialed,
+	// unless this process has fewer than minLinks links. While the overlay forms,
+	// each fact that arrives may change the neighbours.
+	wantedLinkDelay = 500 * time.Millisecond
+	minLinks        = 2
+	// probeValidity is how long a response over a new connection shows that a
+	// member with a quiet link is alive.
+	probeValidity = 1500 * time.Millisecond
 	// unwantedLinkGrace is how long a link that is no longer wanted stays open.
 	unwantedLinkGrace = 5 * time.Second
 	// dialTimeoutsToSuspect is the number of consecutive dial timeouts after
 	// which a member is suspected.
 	dialTimeoutsToSuspect = 2
+	// freshFact is the time for which a member is not suspected because of dial
+	// timeouts after it has changed its fact, as it was alive then.
+	freshFact = 5 * time.Second
 	// massTimeoutWindow is the period over which link timeouts are counted. They
 	// are a mass timeout if there are more than massTimeoutThreshold, and also
 	// more than half the number of the remaining links.
@@ -55,11 +66,21 @@
 	if now.After(c.expireDue) {
 		c.expireDue = now.Add(expireInterval)
 		if c.announcer.Expire(now) {
+			c.prunePeers()
 			c.options.Watcher.MembersChanged()
 		}
 	}
 }
 
+// prunePeers removes the local state of members whose facts have expired.
+func (c *Coordinator) prunePeers() {
+	for name, p := range c.peers {
+		if c.announcer.Fact(name) == nil && !p.dialing && c.links[name] == nil {
+			delete(c.peers, name)
+		}
+	}
+}
+
 // stalled reports whether this process itself was stalled recently. Timeouts are
 // then no evidence that a peer has failed.
 func (c *Coordinator) stalled(now time.Time) bool {
@@ -82,10 +103,20 @@
 	wanted := map[string]bool{}
 	for _, f := range c.announcer.Neighbours() {
 		wanted[f.GetName()] = true
-		if c.links[f.GetName()] == nil {
+		p := c.peer(f.GetName())
+		if p.wantedSince.IsZero() {
+			p.wantedSince = now
+		}
+		stable := now.Sub(p.wantedSince) >= wantedLinkDelay
+		if c.links[f.GetName()] == nil && (stable || len(c.links) < minLinks) {
 			c.dial(f)
 		}
 	}
+	for name, p := range c.peers {
+		if !wanted[name] {
+			p.wantedSince = time.Time{}
+		}
+	}
 	c.requestHeartbeats()
 	for name, link := range c.links {
 		p := c.peer(name)
@@ -167,9 +198,12 @@
 	}
 	if timedOut(err) {
 		p.dialTimeouts++
+		c.health.record(now)
 	}
-	if !timedOut(err) || p.dialTimeouts >= dialTimeoutsToSuspect {
-		c.suspect(fact, now)
+	confirmed := p.dialTimeouts >= dialTimeoutsToSuspect && c.health.good(now) &&
+		now.Sub(c.announcer.ChangedAt(fact.GetName())) > freshFact
+	if !timedOut(err) || confirmed {
+		c.suspect(fact, err, now)
 	}
 }
 
@@ -191,8 +225,8 @@
 	return wait/2 + time.Duration(c.options.Random.Int64N(int64(wait)))
 }
 
-// suspect marks a member as suspected and floods the change.
-func (c *Coordinator) suspect(fact *messenger.Fact, now time.Time) {
+// suspect marks a member as suspected because of err, and floods the change.
+func (c *Coordinator) suspect(fact *messenger.Fact, err error, now time.Time) {
 	p := c.peer(fact.GetName())
 	if now.Sub(p.suspectedAt) < suspectCooldown {
 		return
@@ -205,8 +239,11 @@
 	if update == nil || known.GetBoot() != fact.GetBoot() {
 		return
 	}
+	if !c.health.maySuspect(now) {
+		return
+	}
 	p.suspectedAt = now
-	c.logMember(update)
+	c.options.Log.Info().Str("member", fact.GetName()).Int("dial-timeouts", p.dialTimeouts).Err(err).Msg("overlay: member suspected")
 	c.flood(update, "")
 	c.options.Watcher.MembersChanged()
 }
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -19,8 +19,12 @@
 type Dialer struct {
 	localAddr net.Addr
 	count     *counter.Counter
+	dial      DialFunc
 }
 
+// A DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // New returns a Dialer for the process that listens on address, as host:port.
 func New(address string, count *counter.Counter) *Dialer {
 	d := &Dialer{
@@ -34,6 +38,16 @@
 	return d
 }
 
+// NewFunc returns a Dialer that opens all connections with dial, such as over a
+// simulated network. The timeouts of its methods apply to dial as deadlines of its
+// context.
+func NewFunc(dial DialFunc, count *counter.Counter) *Dialer {
+	return &Dialer{
+		count: count,
+		dial:  dial,
+	}
+}
+
 // DialControl opens a connection for control traffic, whose bytes are counted.
 func (d *Dialer) DialControl(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	conn, err := d.TrafficDialFunc(timeout)(ctx, "tcp", address)
@@ -45,7 +59,14 @@
 
 // TrafficDialFunc returns a DialContext function for http.Transport with the
 // given dial timeout. The bytes of its connections are not counted.
-func (d *Dialer) TrafficDialFunc(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+func (d *Dialer) TrafficDialFunc(timeout time.Duration) DialFunc {
+	if d.dial != nil {
+		return func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			return d.dial(ctx, network, address)
+		}
+	}
 	dialer := &net.Dialer{
 		Timeout:   timeout,
 		LocalAddr: d.localAddr,
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -25,6 +25,9 @@
 	// with fast heartbeats is closed. It grows in proportion to the interval.
 	fastReceiveTimeout = 1500 * time.Millisecond
 	slowReceiveTimeout = fastReceiveTimeout * SlowHeartbeat / FastHeartbeat
+	// quietShare is the share of the receive timeout after which a link counts as
+	// quiet, as a fraction. It leaves time for a dial before the timeout.
+	quietShare = 0.5
 	// helloTimeout bounds each dial, and then the exchange of hellos on a link.
 	helloTimeout = 700 * time.Millisecond
 	// goodbyeDelay is how long a closed link stays open to send the goodbye.
@@ -57,6 +60,9 @@
 	Up(link *Link)
 	// Frame handles one received frame.
 	Frame(link *Link, frame *messenger.Frame)
+	// Quiet is called when no frame was received for quietShare of the receive
+	// timeout.
+	Quiet(link *Link)
 	// Down is called when a link that was up has ended, with the reason.
 	Down(link *Link, err error)
 }
@@ -162,8 +168,12 @@
 		l.cancel(ErrTimeout)
 	})
 	defer receiveTimer.Stop()
+	quietTimer := time.AfterFunc(quietTime(slowReceiveTimeout), func() {
+		handler.Quiet(l)
+	})
+	defer quietTimer.Stop()
 	handler.Up(l)
-	go l.receive(s, handler, receiveTimer)
+	go l.receive(s, handler, receiveTimer, quietTimer)
 	go l.transmit(ctx, s, handler, count)
 	<-ctx.Done()
 	err := context.Cause(ctx)
@@ -174,9 +184,14 @@
 	return err
 }
 
-// receive passes received frames to the handler, and restarts the receive timer
-// after each.
-func (l *Link) receive(s stream, handler Handler, receiveTimer *time.Timer) {
+// quietTime returns the time without a frame after which a link counts as quiet.
+func quietTime(timeout time.Duration) time.Duration {
+	return time.Duration(quietShare * float64(timeout))
+}
+
+// receive passes received frames to the handler, and restarts the timers after
+// each.
+func (l *Link) receive(s stream, handler Handler, receiveTimer, quietTimer *time.Timer) {
 	timeout := slowReceiveTimeout
 	for {
 		frame, err := s.Recv()
@@ -188,6 +203,7 @@
 			timeout = l.onHeartbeat(heartbeat)
 		}
 		receiveTimer.Reset(timeout)
+		quietTimer.Reset(quietTime(timeout))
 		if frame.GetGoodbye() != nil {
 			l.cancel(ErrUnwanted)
 			return
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -82,6 +82,9 @@
 	Tokens map[string]string
 	// Lease is the time for which a target's announcement is valid.
 	Lease time.Duration
+	// Keys reports whether calls with an idempotency key run at most once. It must
+	// be the same at all nodes.
+	Keys bool
 	// KeyWindow is the time for which an idempotency key is stored.
 	KeyWindow time.Duration
 	// Grace is the time for which a leaving process continues to serve callers.
@@ -144,6 +147,7 @@
 	d := parser.NewDocument("settings", "", name, text)
 	s := Settings{
 		Lease:           defaultLease,
+		Keys:            true,
 		KeyWindow:       defaultKeyWindow,
 		Grace:           defaultGrace,
 		Shutdown:        defaultShutdown,
@@ -189,6 +193,7 @@
 		s.TargetAddress = readAddress(section, "address")
 	case "callers":
 		s.CallerService = section.String("service", "")
+		s.Keys = section.Bool("keys", true)
 		s.KeyWindow = section.Duration("key-window", defaultKeyWindow, minKeyWindow, maxKeyWindow)
 	case "log":
 		s.readLog(section)
--- a/internal/replicator/snapshot_test.go
+++ b/internal/replicator/snapshot_test.go
@@ -122,7 +122,7 @@
 	c.handle(follower, effects)
 	is.Equal(follower.lastIndex(), base+5)                   // in memory
 	is.Equal(len(follower.durable.Entries), 3)               // on disk
-	is.Equal(follower.Replicator.commit, base+2)             // what the snapshot has committed
+	is.Equal(follower.commit, base+2)                        // what the snapshot has committed
 	is.Equal(string(follower.entryAt(base+5).Data), "tail4") // the acknowledged tail
 	is.Equal(follower.Replicator.durable.Entries[0].Index, base+3)
 }
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -38,11 +38,16 @@
 	// drainNoticeDelay is the time allowed for the other processes to be notified
 	// that the targets of a leaving node get no new work.
 	drainNoticeDelay = 100 * time.Millisecond
-	// viewRebuildDelay is how long membership changes are batched before the
-	// view is rebuilt.
-	viewRebuildDelay  = 20 * time.Millisecond
-	confirmTimeout    = 1500 * time.Millisecond
-	confirmRetryDelay = 50 * time.Millisecond
+	// viewRebuildDelay is how long membership changes are batched before the view
+	// is rebuilt. If it was rebuilt within busyRebuildWindow, the delay is
+	// rebuildDelayPerMember for each member instead, up to maxRebuildDelay: the cost
+	// of a rebuild grows with the members too.
+	viewRebuildDelay      = 20 * time.Millisecond
+	rebuildDelayPerMember = time.Millisecond
+	maxRebuildDelay       = 500 * time.Millisecond
+	busyRebuildWindow     = time.Second
+	confirmTimeout        = 1500 * time.Millisecond
+	confirmRetryDelay     = 50 * time.Millisecond
 )
 
 var errNotReporter = errors.New("this process does not collect reports")
@@ -60,6 +65,7 @@
 	claims       *claims
 	view         atomic.Pointer[fireflymoor.View]
 	viewPending  bool
+	lastRebuild  time.Time
 	throttle     applier.Throttle
 	applyPending bool
 	leaving      atomic.Bool
@@ -105,6 +111,10 @@
 // initServers creates the HTTP servers of the node.
 func (n *node) initServers() {
 	local := target.NewServer(n.targets, n.dialect(), n.dialer)
+	var claims caller.Claims
+	if n.settings.Keys {
+		claims = n.claims.claimer
+	}
 	handler := caller.New(caller.Options{
 		Node:        n.settings.Name,
 		Origin:      n.settings.CallerService,
@@ -117,7 +127,7 @@
 		Ejector:     ejector.New(),
 		Budget:      retrier.NewBudget(),
 		RefusalRate: retrier.NewRefusalRate(),
-		Claims:      n.claims.claimer,
+		Claims:      claims,
 		Metrics:     caller.NewMetrics(n.registry),
 		Log:         n.rateLimitedLog(),
 		RouteLog:    n.rateLimitedLog(),
@@ -195,8 +205,10 @@
 	group.Go(func() { n.confirm(workCtx) })
 	group.Go(func() { n.sequencer.Every(workCtx, reportInterval, func() { n.sendReports(workCtx) }) })
 	group.Go(func() { n.expireLeases(workCtx) })
-	group.Go(func() { n.sequencer.Every(workCtx, ringInterval, n.pruneRing) })
-	group.Go(func() { n.claims.restore(workCtx, n.log) })
+	if n.settings.Keys {
+		group.Go(func() { n.sequencer.Every(workCtx, ringInterval, n.pruneRing) })
+		group.Go(func() { n.claims.restore(workCtx, n.log) })
+	}
 	n.log.Info().Str("zone", n.settings.Zone).Str("team", n.settings.Team).Msg("process: node started")
 }
 
@@ -312,13 +324,19 @@
 		return
 	}
 	n.viewPending = true
-	time.AfterFunc(viewRebuildDelay, func() {
+	delay := viewRebuildDelay
+	if time.Since(n.lastRebuild) < busyRebuildWindow {
+		members := time.Duration(n.coordinator.Announcer().Len())
+		delay = min(max(members*rebuildDelayPerMember, viewRebuildDelay), maxRebuildDelay)
+	}
+	time.AfterFunc(delay, func() {
 		n.sequencer.Post(n.rebuildView)
 	})
 }
 
 func (n *node) rebuildView() {
 	n.viewPending = false
+	n.lastRebuild = time.Now()
 	targets := n.coordinator.Announcer().Targets()
 	view := n.View().WithTargets(targets)
 	n.view.Store(&view)
@@ -338,6 +356,9 @@
 // rebuildRing rebuilds the ring of claim keepers from the current nodes and
 // the nodes that left within the key window.
 func (n *node) rebuildRing() {
+	if !n.settings.Keys {
+		return
+	}
 	n.claims.setMembers(n.coordinator.Announcer().Nodes(time.Now(), n.settings.KeyWindow))
 }
 
