internal/sender: bound the head of a response

Cause: a head was read without a limit. A target in trouble that sends bytes that are no answer, a header line, header lines or informational responses without end was read until the call's time had passed, at the speed of the loopback, into memory.

Ruled out: bodies, chunk sizes, trailers and answers to other requests without end, which are bounded already (the same test, before and after).

Before: TestEndlessAnswers fails for these four of twelve kinds: more than 8 MiB are read. After: 64 KiB, the outcome is unknown, the connection is closed and not used again.

--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -21,11 +21,19 @@
 	// maxDiscard is the maximum number of body bytes that are discarded of a
 	// response to another request.
 	maxDiscard = 256 << 10
+	// maxHeadBytes bounds the head of a response with all informational responses
+	// before it. A faulty peer may send a head without end.
+	maxHeadBytes = 64 << 10
 )
 
+// errHeadTooLong means that a peer sent more than maxHeadBytes and no head of a
+// final response.
+var errHeadTooLong = errors.New("sender: the head of the answer is too long")
+
 // conn is a connection that carries one request at a time.
 type conn struct {
 	raw     net.Conn
+	source  *headLimiter
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	expires time.Time
@@ -40,13 +48,38 @@
 }
 
 func newConn(raw net.Conn) *conn {
+	source := &headLimiter{
+		source: raw,
+	}
 	return &conn{
 		raw:    raw,
-		reader: bufio.NewReader(raw),
+		source: source,
+		reader: bufio.NewReader(source),
 		writer: bufio.NewWriter(raw),
 	}
 }
 
+// headLimiter reads from a connection. While a head is read, it fails after
+// maxHeadBytes.
+type headLimiter struct {
+	source    io.Reader
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.source.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // abort makes all pending reads and writes on the connection fail.
 func (c *conn) abort() {
 	_ = c.raw.SetDeadline(time.Unix(1, 0))
@@ -104,6 +137,9 @@
 
 // read reads the next final response and skips informational ones.
 func (c *conn) read(request *http.Request) (*http.Response, error) {
+	c.source.limited = true
+	c.source.remaining = maxHeadBytes
+	defer func() { c.source.limited = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
