internal/replicator, internal/sequencer: contain malformed messages and panics

Cause: an append message with a membership entry that cannot be decoded was stored, and panicked each time that the membership was needed: the replica went down, and again after each start. A message with a term near the largest number would have raised the term so far that no election could follow, and a reply with a later round than the leader's would have confirmed reads. A panic in any task or call ended the process.

Now malformed messages are refused before the log sees them; a panic in the log returns the replica to the state on disk and suspends it; panics of other tasks of the sequencer and of calls between processes end only these, are logged with their stack and counted in fireflymoor_panics_total. HTTP handlers are contained by net/http.

Not tried: the path from a panic in the log to the suspension.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -139,12 +140,32 @@
 
 // Step processes a message from another replica. It is safe for concurrent use.
 func (c *Controller) Step(m *messenger.ReplicaMessage) {
+	if err := replicator.Validate(m); err != nil {
+		c.options.Log.Warn().Str("from", m.GetFrom()).Err(err).Msg("control: message ignored")
+		return
+	}
 	c.options.Transport.MarkReceived(m.GetFrom())
 	c.options.Sequencer.Post(func() {
-		c.handle(c.replicator.Step(m, time.Now()))
+		c.handle(c.step(m))
 	})
 }
 
+// step passes a message to the replicated log. If that panics, its state is not to
+// be trusted: the replica returns to the state on disk and is suspended.
+func (c *Controller) step(m *messenger.ReplicaMessage) (effects replicator.Effects) {
+	defer func() {
+		value := recover()
+		if value == nil {
+			return
+		}
+		c.options.Log.Error().Interface("panic", value).Str("from", m.GetFrom()).Stringer("kind", m.GetKind()).
+			Bytes("stack", debug.Stack()).Msg("control: a message could not be processed")
+		effects = replicator.Effects{}
+		c.suspend(errors.Mark(errors.New("the replicated log panicked"), persister.ErrUnchanged), 0)
+	}()
+	return c.replicator.Step(m, time.Now())
+}
+
 // handle carries out effects in order: no message is sent before the state that
 // it depends on is synced to disk.
 func (c *Controller) handle(effects replicator.Effects) {
--- a/internal/controller/disk.go
+++ b/internal/controller/disk.go
@@ -22,9 +22,10 @@
 	resumedAt time.Time
 }
 
-// suspend takes the replica out of the log after a refused write. Nothing of the
-// step that needed the write is carried out. If it is not known what the disk
-// holds, the process ends.
+// suspend takes the replica out of the log after a refused write of the given size,
+// or another fault that leaves the disk unchanged. Nothing of the step in which it
+// happened is carried out. If it is not known what the disk holds, the process
+// ends.
 func (c *Controller) suspend(err error, size int) {
 	if !errors.Is(err, persister.ErrUnchanged) {
 		c.options.Log.Error().Err(err).Msg("control: the disk failed")
@@ -45,7 +46,7 @@
 	c.disk.refused = size
 	c.disk.probeDue = now.Add(c.disk.wait)
 	c.disk.wait = min(2*c.disk.wait, maxProbeInterval)
-	c.options.Log.Error().Err(err).Int("bytes", size).Msg("control: the disk takes no writes, replica suspended")
+	c.options.Log.Error().Err(err).Int("bytes", size).Msg("control: replica suspended")
 	c.logRole()
 }
 
@@ -60,7 +61,7 @@
 	case err == nil:
 		c.disk.resumedAt = now
 		c.replicator.Resume(now)
-		c.options.Log.Info().Msg("control: the disk takes writes again, replica resumed")
+		c.options.Log.Info().Msg("control: replica resumed, as the disk takes writes")
 	case errors.Is(err, persister.ErrUnchanged):
 		c.disk.probeDue = now.Add(c.disk.wait)
 		c.disk.wait = min(2*c.disk.wait, maxProbeInterval)
--- a/internal/coordinator/offer_test.go
+++ b/internal/coordinator/offer_test.go
@@ -82,7 +82,7 @@
 	is.NoErr(messenger.DRPCRegisterOverlay(mux, m))
 	group.Go(func() { m.sequencer.Run(ctx) })
 	group.Go(func() { m.coordinator.Run(ctx) })
-	group.Go(func() { _ = linker.Serve(ctx, listener, mux, count) })
+	group.Go(func() { _ = linker.Serve(ctx, listener, mux, count, failOnPanic) })
 	return m, address
 }
 
@@ -202,3 +202,8 @@
 	t.Logf("a fact is sent %.1f times", copies)
 	is.True(copies <= maxCopies*members)
 }
+
+// failOnPanic lets a panic in a call end the test.
+func failOnPanic(value any, _ []byte) {
+	panic(value)
+}
--- a/internal/coordinator/start_test.go
+++ b/internal/coordinator/start_test.go
@@ -100,7 +100,7 @@
 	listener := f.network.listen(f.addresses[i])
 	group.Go(func() { m.sequencer.Run(f.ctx) })
 	group.Go(func() { m.coordinator.Run(f.ctx) })
-	group.Go(func() { _ = linker.Serve(f.ctx, listener, mux, count) })
+	group.Go(func() { _ = linker.Serve(f.ctx, listener, mux, count, failOnPanic) })
 	time.AfterFunc(300*time.Millisecond, func() {
 		m.sequencer.Post(func() {
 			m.coordinator.SetTargets([]*messenger.Target{{
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -191,8 +192,9 @@
 }
 
 // Serve accepts drpc connections and serves the calls on them until ctx ends.
-// Their bytes are counted as control traffic.
-func Serve(ctx context.Context, listener net.Listener, mux *drpcmux.Mux, count *counter.Counter) error {
+// Their bytes are counted as control traffic. A panic in a call ends its connection
+// only, and is passed to onPanic with the stack.
+func Serve(ctx context.Context, listener net.Listener, mux *drpcmux.Mux, count *counter.Counter, onPanic func(value any, stack []byte)) error {
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
 		Manager: ManagerOptions(),
 	})
@@ -210,6 +212,12 @@
 		}
 		count.CountAccepted()
 		go func() {
+			defer func() {
+				if value := recover(); value != nil {
+					onPanic(value, debug.Stack())
+					_ = conn.Close()
+				}
+			}()
 			_ = server.ServeOne(ctx, count.Wrap(conn, idleTimeout))
 		}()
 	}
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -193,7 +193,7 @@
 
 func (r *Replicator) onAppendReply(m *messenger.ReplicaMessage, now time.Time) {
 	p := r.progress[m.GetFrom()]
-	if r.role != Leader || m.GetTerm() != r.durable.Term || p == nil {
+	if r.role != Leader || m.GetTerm() != r.durable.Term || p == nil || m.GetRound() > r.round {
 		return
 	}
 	if p.disk != m.GetDisk() {
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -60,6 +60,7 @@
 	listeners   map[string]net.Listener
 	logWriter   io.Closer
 	adapter     Adapter
+	panics      prometheus.Counter
 }
 
 // newMember returns a member that listens on the non-empty addresses.
@@ -89,6 +90,12 @@
 		listeners: map[string]net.Listener{},
 		logWriter: logWriter,
 	}
+	m.panics = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "fireflymoor_panics_total",
+		Help: "Panics of single tasks and requests that were contained.",
+	})
+	registry.MustRegister(m.panics)
+	m.sequencer.ContainPanics(m.recordPanic)
 	m.dialer = dialer.New(settings.Overlay, m.counter)
 	m.client = linker.NewClient(m.dialer)
 	for _, option := range options {
@@ -97,6 +104,12 @@
 	return m, m.listen(addresses)
 }
 
+// recordPanic logs and counts a panic that ended only one task or request.
+func (m *member) recordPanic(value any, stack []byte) {
+	m.panics.Inc()
+	m.log.Error().Interface("panic", value).Bytes("stack", stack).Msg("process: panic contained")
+}
+
 // listen opens all listeners, so that an address in use is detected before the
 // process runs.
 func (m *member) listen(addresses []string) error {
@@ -225,7 +238,7 @@
 // serveOverlay serves the requests of other processes until ctx ends.
 func (m *member) serveOverlay(ctx context.Context, group *sync.WaitGroup, mux *drpcmux.Mux) {
 	group.Go(func() {
-		if err := linker.Serve(ctx, m.listeners[m.settings.Overlay], mux, m.counter); err != nil {
+		if err := linker.Serve(ctx, m.listeners[m.settings.Overlay], mux, m.counter, m.recordPanic); err != nil {
 			m.log.Error().Err(err).Msg("overlay: server failed")
 		}
 	})
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,8 +20,9 @@
 // may read or change this state. Its methods other than Run may be called
 // concurrently.
 type Sequencer struct {
-	tasks chan func()
-	ended chan struct{}
+	tasks   chan func()
+	ended   chan struct{}
+	onPanic func(value any, stack []byte)
 }
 
 // New returns a Sequencer. Run must be called for its tasks to run.
@@ -31,6 +33,24 @@
 	}
 }
 
+// ContainPanics makes a panic of a task end that task only, and passes it to
+// handle with the stack. It must be called before Run.
+func (s *Sequencer) ContainPanics(handle func(value any, stack []byte)) {
+	s.onPanic = handle
+}
+
+// run runs a task. A panic is contained if it is handled.
+func (s *Sequencer) run(task func()) {
+	if s.onPanic != nil {
+		defer func() {
+			if value := recover(); value != nil {
+				s.onPanic(value, debug.Stack())
+			}
+		}()
+	}
+	task()
+}
+
 // Run runs queued tasks in order until ctx is done. It must be called once.
 func (s *Sequencer) Run(ctx context.Context) {
 	defer close(s.ended)
@@ -39,7 +59,7 @@
 		case <-ctx.Done():
 			return
 		case task := <-s.tasks:
-			task()
+			s.run(task)
 		}
 	}
 }
