internal/runner, internal/ejector, internal/sender: fix faults found by reading

Causes: replicas() left out suspected replicas and the seeds that belong to them, so that a node that is told only seeds had nobody to ask while all were suspected, and confirm went round without a pause; eject-share 100 let all targets be ejected; records of failed targets were never removed; a transport that was dropped took connections in use back; bootstrapLog read the seeds off the sequencer.

Before: no test; after: TestFindReplicas, TestNeverAllEjected, TestRecordsAreRemoved and TestClosedTransport pass. The race on the seeds is mended by reading only.

--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -20,6 +20,11 @@
 	maxEjection     = 30 * time.Second
 	// leavingEjection is how long a target that refuses new calls is excluded.
 	leavingEjection = 2 * time.Second
+	// recordRetention is how long the record of a target is kept after its last
+	// failure, and maxRecords the number of records above which older ones are
+	// removed.
+	recordRetention = 2 * maxEjection
+	maxRecords      = 1000
 	percent         = 100
 )
 
@@ -57,7 +62,7 @@
 	r := e.targets[id]
 	if r == nil {
 		r = &record{}
-		e.targets[id] = r
+		e.add(id, r, now)
 	}
 	r.seen = now
 	r.failures++
@@ -74,22 +79,34 @@
 func (e *Ejector) RecordDraining(id string, now time.Time) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	e.targets[id] = &record{
+	e.add(id, &record{
 		until: now.Add(leavingEjection),
 		seen:  now,
+	}, now)
+}
+
+// add adds a record. If there are many, it removes those of targets that have not
+// failed for long, such as targets that are gone.
+func (e *Ejector) add(id string, r *record, now time.Time) {
+	if len(e.targets) >= maxRecords {
+		for other, old := range e.targets {
+			if now.Sub(old.seen) > recordRetention {
+				delete(e.targets, other)
+			}
+		}
 	}
+	e.targets[id] = r
 }
 
 // Filter returns the targets that are not ejected. It excludes at most share
-// percent of the given targets, rounded down, and so never all of them if share
-// is below 100.
+// percent of the given targets, rounded down, and never all of them.
 func (e *Ejector) Filter(targets []fireflymoor.Target, share int, now time.Time) []fireflymoor.Target {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if len(e.targets) == 0 {
 		return targets
 	}
-	remaining := len(targets) * share / percent
+	remaining := min(len(targets)*share/percent, len(targets)-1)
 	kept := make([]fireflymoor.Target, 0, len(targets))
 	for i := range targets {
 		r := e.targets[targets[i].ID]
--- a/internal/ejector/ejector_test.go
+++ b/internal/ejector/ejector_test.go
@@ -37,3 +37,33 @@
 	e.RecordSuccess("0")
 	is.Equal(len(e.Filter(targets[:1], 100, now)), 1)
 }
+
+// TestNeverAllEjected checks that one target is left, also with a share of 100.
+func TestNeverAllEjected(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1, 0)
+	e := New()
+	var targets []fireflymoor.Target
+	for i := range 4 {
+		id := fmt.Sprint(i)
+		targets = append(targets, fireflymoor.Target{
+			ID: id,
+		})
+		for range failuresToEject {
+			e.RecordFailure(id, now)
+		}
+	}
+	is.Equal(len(e.Filter(targets, 100, now)), 1)
+	is.Equal(len(e.Filter(nil, 100, now)), 0)
+}
+
+// TestRecordsAreRemoved lets many targets fail that then are gone. Their records
+// must not stay.
+func TestRecordsAreRemoved(t *testing.T) {
+	is := is.New(t)
+	e := New()
+	for i := range 10 * maxRecords {
+		e.RecordFailure(fmt.Sprint(i), time.Unix(int64(i), 0))
+	}
+	is.True(len(e.targets) <= maxRecords)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -113,7 +113,7 @@
 	delete(f.transports, address)
 	f.lock.Unlock()
 	if t != nil {
-		t.CloseIdleConnections()
+		t.Close()
 	}
 }
 
@@ -128,7 +128,7 @@
 	defer f.lock.Unlock()
 	for address, t := range f.transports {
 		if !kept[address] {
-			t.CloseIdleConnections()
+			t.Close()
 			delete(f.transports, address)
 		}
 	}
--- a/internal/runner/bootstrap.go
+++ b/internal/runner/bootstrap.go
@@ -24,7 +24,10 @@
 // All seeds must be reachable and blank. The seeds stagger their attempts; if
 // two of them succeed, no harm is done, because both create the same log.
 func (c *control) bootstrapLog(ctx context.Context) {
-	seeds := slices.Clone(c.settings.SeedAddresses)
+	var seeds []string
+	if err := c.sequencer.Do(ctx, func() { seeds = slices.Clone(c.settings.SeedAddresses) }); err != nil {
+		return
+	}
 	slices.Sort(seeds)
 	turn := slices.Index(seeds, c.settings.AdvertisedOverlay)
 	if !c.settings.Founding || turn < 0 {
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -378,6 +378,9 @@
 			}
 			waiter.Pause(ctx, max(jitter(confirmRetryDelay), retryAfter))
 		}
+		if len(replicas) == 0 {
+			waiter.Pause(ctx, jitter(confirmRetryDelay))
+		}
 	}
 }
 
--- a/internal/runner/replicas.go
+++ b/internal/runner/replicas.go
@@ -20,32 +20,43 @@
 }
 
 // replicas returns the known control replicas: the replicas in the settings if
-// there are any, else the live replicas of controlFacts and the seeds that have
-// no such fact. It is called on the sequencer.
+// there are any, else those that findReplicas finds. It is called on the sequencer.
 func (m *member) replicas() []loader.Replica {
 	if len(m.settings.Replicas) > 0 {
 		return m.settings.Replicas
 	}
-	var replicas []loader.Replica
+	return findReplicas(m.controlFacts(), m.settings.SeedAddresses)
+}
+
+// findReplicas returns the live replicas and the seeds that belong to no known
+// replica. If there are none, it returns the suspected replicas: the suspicions may
+// be false, or out of date.
+func findReplicas(facts []*messenger.Fact, seeds []string) []loader.Replica {
+	var alive, suspected []loader.Replica
 	known := map[string]bool{}
-	for _, f := range m.controlFacts() {
+	for _, f := range facts {
 		known[f.GetOverlayAddress()] = true
-		if f.GetState() != messenger.MemberState_MEMBER_ALIVE {
-			continue
-		}
-		replicas = append(replicas, loader.Replica{
+		replica := loader.Replica{
 			Name:    f.GetName(),
 			Address: f.GetOverlayAddress(),
-		})
+		}
+		if f.GetState() == messenger.MemberState_MEMBER_ALIVE {
+			alive = append(alive, replica)
+		} else {
+			suspected = append(suspected, replica)
+		}
 	}
-	for _, seed := range m.settings.SeedAddresses {
+	for _, seed := range seeds {
 		if !known[seed] {
-			replicas = append(replicas, loader.Replica{
+			alive = append(alive, loader.Replica{
 				Address: seed,
 			})
 		}
 	}
-	return replicas
+	if len(alive) == 0 {
+		return suspected
+	}
+	return alive
 }
 
 // refreshPeers updates the replication peers of the log and the addresses to
--- a/internal/sender/transport.go
+++ b/internal/sender/transport.go
@@ -244,10 +244,12 @@
 // are scanned for expiry.
 const sweepsPerIdleTime = 4
 
-// CloseIdleConnections closes all idle connections.
-func (t *Transport) CloseIdleConnections() {
+// Close closes all idle connections, and those in use at the end of their
+// responses.
+func (t *Transport) Close() {
 	t.lock.Lock()
 	defer t.lock.Unlock()
+	t.closed = true
 	for _, conns := range t.conns {
 		for _, c := range conns {
 			c.close()
--- a/internal/sender/transport_test.go
+++ b/internal/sender/transport_test.go
@@ -190,3 +190,23 @@
 	header.Set("Keep-Alive", "max=100")
 	is.Equal(keepAlive(header), time.Duration(0))
 }
+
+// TestClosedTransport closes a transport while a connection is in use. The
+// connection must be closed at the end of its response.
+func TestClosedTransport(t *testing.T) {
+	is := is.New(t)
+	transport := newTestTransport()
+	address, _ := listen(t, func(conn net.Conn, reader *bufio.Reader) {
+		id, err := readID(reader)
+		if err != nil {
+			return
+		}
+		transport.Close()
+		writeResponse(conn, id, "body")
+		_, _ = reader.ReadByte()
+	})
+	body, _, err := send(t, transport, address, "a")
+	is.NoErr(err)
+	is.Equal(body, "body")
+	is.True(transport.take(address) == nil)
+}
