internal/caller: answer a request that cannot be read with 400

Cause: a request body that breaks off or has a malformed chunk made the try fail, which was answered 502 and recorded as a failure of the target: three such requests eject a target. The reason told callers the addresses of targets and sockets.

After: 400 after one try, no target is ejected, and the reason is one of a fixed list; the detail is in the log under the call's id.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -33,6 +33,8 @@
 	// unbuffered is set once more was read than is buffered.
 	unbuffered bool
 	tooLarge   bool
+	// broken is set if the source failed, such as at a malformed chunk.
+	broken bool
 }
 
 // newBody returns a body of at most maxBytes bytes. The length is -1 if it is
@@ -58,11 +60,19 @@
 	}), b.length
 }
 
-// replayable reports whether everything read so far is buffered.
+// replayable reports whether everything read so far is buffered and the rest can
+// be read.
 func (b *body) replayable() bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return !b.unbuffered && !b.tooLarge
+	return !b.unbuffered && !b.tooLarge && !b.broken
+}
+
+// failed reports whether the body could not be read from the caller.
+func (b *body) failed() bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.broken
 }
 
 // overflowed reports whether the body was longer than its limit.
@@ -98,6 +108,7 @@
 // while they fit.
 func (b *body) readSource(p []byte) (int, error) {
 	n, err := b.source.Read(p)
+	b.broken = b.broken || err != nil && !errors.Is(err, io.EOF)
 	b.remaining -= int64(n)
 	if b.remaining < 0 {
 		b.tooLarge = true
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -224,7 +224,7 @@
 			outcome = fireflymoor.Unknown
 		}
 		c.conclude(ctx, outcome)
-		h.refuseWithDelay(w, c.id, failureStatus(ctx, c, outcome), outcome, err.Error(), retryDelay(ctx, c.route, outcome))
+		h.refuseWithDelay(w, c.id, failureStatus(ctx, c, outcome), outcome, callerReason(ctx, c, outcome, err), err.Error(), retryDelay(ctx, c.route, outcome))
 		return
 	}
 }
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -17,12 +17,15 @@
 const cancelGrace = 50 * time.Millisecond
 
 // recordFailure counts a failure against a target, unless the caller canceled
-// early or the target's node was only busy. A caller that canceled after the
-// objective had good reason to.
+// early, its request could not be read, or the target's node was only busy. A
+// caller that canceled after the objective had good reason to.
 func (h *Handler) recordFailure(ctx context.Context, c *call, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
 	if errors.Is(ctx.Err(), context.Canceled) && time.Since(c.start) < c.route.Objective+cancelGrace {
 		return
 	}
+	if c.body.failed() && ctx.Err() == nil {
+		return
+	}
 	h.options.Metrics.failedTries.WithLabelValues(outcome.String()).Inc()
 	switch {
 	case errors.Is(err, fireflymoor.ErrDraining):
@@ -58,18 +61,40 @@
 	receiver.Copy(w, response)
 }
 
+// callerReason returns the reason for a failed call that its caller is told. The
+// error itself may name addresses of targets and sockets, and is only logged.
+func callerReason(ctx context.Context, c *call, outcome fireflymoor.Outcome, err error) string {
+	switch {
+	case c.body.overflowed():
+		return "the body is too large"
+	case c.body.failed():
+		return "the body cannot be read"
+	case ctx.Err() != nil:
+		return "the time for the call has passed"
+	}
+	for _, known := range []error{errNoTarget, errBodyNotReplayable, errRetryBudgetSpent, fireflymoor.ErrDraining, fireflymoor.ErrBusy} {
+		if errors.Is(err, known) {
+			return known.Error()
+		}
+	}
+	if outcome == fireflymoor.NotRun {
+		return "no target was reached"
+	}
+	return "no complete answer was received from the target"
+}
+
 // refuse responds to a call that gets no response from a target.
 func (h *Handler) refuse(w http.ResponseWriter, id string, status int, outcome fireflymoor.Outcome, reason string) {
-	h.refuseWithDelay(w, id, status, outcome, reason, 0)
+	h.refuseWithDelay(w, id, status, outcome, reason, reason, 0)
 }
 
-// refuseWithDelay refuses a call and asks its caller to retry after retryAfter,
-// if that is not 0.
-func (h *Handler) refuseWithDelay(w http.ResponseWriter, id string, status int, outcome fireflymoor.Outcome, reason string, retryAfter time.Duration) {
+// refuseWithDelay refuses a call with a reason and asks its caller to retry after
+// retryAfter, if that is not 0. The detail is logged.
+func (h *Handler) refuseWithDelay(w http.ResponseWriter, id string, status int, outcome fireflymoor.Outcome, reason, detail string, retryAfter time.Duration) {
 	h.options.Metrics.calls.WithLabelValues(outcome.String()).Inc()
 	if h.options.Decisions {
 		h.options.Log.Info().Str("call", id).Int("status", status).
-			Stringer("outcome", outcome).Str("reason", reason).Msg("caller: refused")
+			Stringer("outcome", outcome).Str("reason", detail).Msg("caller: refused")
 	}
 	refusal := fireflymoor.Refusal{
 		Status:  status,
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -72,6 +72,8 @@
 	switch {
 	case c.body.overflowed():
 		return http.StatusRequestEntityTooLarge
+	case c.body.failed() && ctx.Err() == nil:
+		return http.StatusBadRequest
 	case outcome == fireflymoor.NotRun:
 		return http.StatusServiceUnavailable
 	case ctx.Err() != nil:
