--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -38,6 +38,8 @@
 	// with each write that is refused soon after a probe succeeded.
 	initialProbeInterval = 500 * time.Millisecond
 	maxProbeInterval     = 4 * time.Second
+	// slowWrite is the time above which a write to the disk is logged.
+	slowWrite = 250 * time.Millisecond
 	// exitStatusDisk is the exit status of the process after a disk error that
 	// leaves the stored state unknown, or an unreadable snapshot.
 	exitStatusDisk = 71
@@ -170,7 +172,7 @@
 // it depends on is synced to disk.
 func (c *Controller) handle(effects replicator.Effects) {
 	if effects.Save != nil {
-		if err := c.options.Persister.Save(*effects.Save); err != nil {
+		if err := c.save(effects.Save); err != nil {
 			c.suspend(err, sizeOf(effects.Save))
 			return
 		}
@@ -194,6 +196,17 @@
 	c.compact()
 }
 
+// save writes to the disk. It logs a slow write, during which the replica does
+// nothing else.
+func (c *Controller) save(save *replicator.Save) error {
+	began := time.Now()
+	err := c.options.Persister.Save(*save)
+	if took := time.Since(began); took > slowWrite {
+		c.options.Log.Warn().Dur("took", took).Int("bytes", sizeOf(save)).Msg("control: slow disk write")
+	}
+	return err
+}
+
 func (c *Controller) logRole() {
 	status := c.replicator.Status(time.Now())
 	if status.Role == c.role {
