internal/target: check a target's lease when its slot is given

Cause: the lease of a target was checked by a timer every 100 ms only. A process that was paused for longer than the lease handled calls before the timer, and gave slots of a target whose permission had run out; so did a call that had waited for its slot.

Ruled out: the leader's reads and votes (confirmed by a round of a quorum that begins after the question); claims (a majority that took longer than GrantTimeout does not count).

Before: find had no time; after: TestExpiredLeaseIsNotUsed passes.

--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -317,9 +317,10 @@
 }
 
 // find returns the target with an id as other processes know it, which begins with
-// the name of the node. It returns ErrUnknown if the target is not announced here,
-// and limiter.ErrDraining if the node is leaving.
-func (r *Registry) find(id string) (*localTarget, error) {
+// the name of the node. It returns ErrUnknown if the target is not announced here or
+// its lease has expired at now, and limiter.ErrDraining if the node is leaving. A
+// process that was suspended may get a call before Expire drops the target.
+func (r *Registry) find(id string, now time.Time) (*localTarget, error) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	localID, ok := strings.CutPrefix(id, annotator.JoinTarget(r.node, ""))
@@ -327,7 +328,7 @@
 		return nil, ErrUnknown
 	}
 	t := r.targets[localID]
-	if t == nil {
+	if t == nil || now.Sub(t.renewedAt) > r.lease {
 		return nil, ErrUnknown
 	}
 	if r.leaving {
@@ -335,3 +336,11 @@
 	}
 	return t, nil
 }
+
+// valid reports whether a target's lease is valid at now. The wait for a slot may
+// have outlasted it, such as in a process that was suspended.
+func (r *Registry) valid(t *localTarget, now time.Time) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return now.Sub(t.renewedAt) <= r.lease
+}
--- a/internal/target/registry_test.go
+++ b/internal/target/registry_test.go
@@ -75,3 +75,19 @@
 	r.HandleLeave("a", 100, time.Unix(1, 0))
 	is.Equal(ids(*notified), []string{"node/a TARGET_READY"})
 }
+
+// TestExpiredLeaseIsNotUsed looks a target up after its lease has expired and
+// before Expire has dropped it, as in a process that was suspended. It must not be
+// found, and a call that waited for a slot meanwhile must not get it.
+func TestExpiredLeaseIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	r, _ := newTestRegistry()
+	announce(r, "a", 100, 1, false)
+	announced := time.Unix(1, 0)
+	found, err := r.find("node/a", announced.Add(r.lease))
+	is.NoErr(err)
+	late := announced.Add(r.lease + time.Millisecond)
+	is.True(!r.valid(found, late))
+	_, err = r.find("node/a", late)
+	is.Equal(err, ErrUnknown)
+}
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -80,7 +80,7 @@
 
 // Forward implements fireflymoor.Forwarder for the targets of this instance.
 func (s *Server) Forward(ctx context.Context, target fireflymoor.Target, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
-	t, err := s.registry.find(target.ID)
+	t, err := s.registry.find(target.ID, time.Now())
 	if err != nil {
 		return nil, fireflymoor.NotRun, errors.Wrapf(err, "target %s: find", target.ID)
 	}
@@ -89,6 +89,10 @@
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(err, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
 	}
 	started := time.Now()
+	if !s.registry.valid(t, started) {
+		t.limiter.Release(ticket, 0)
+		return nil, fireflymoor.NotRun, errors.Wrapf(ErrUnknown, "target %s: take a slot", target.ID)
+	}
 	untrack := s.trackRunning(in.Header)
 	release := func() {
 		untrack()
