internal/distributor: wait for slow responses instead of asking again

Cause: a response that took more than 300 ms was given up, the neighbour was forgotten until it announced a version again, and the next one was asked for the same, so that on links with a queue the queue grew, and a member that had asked all its neighbours waited for a heartbeat. Of neighbours with the same version the first by name was asked, by every member of a zone.

Now the wait follows the time of recent responses (300 ms to 2 s), a neighbour that did not respond is asked again if there is no better one, and of several the one that announced the version first is asked.

Before: TestSlowLink and TestRequestIsRepeated fail (one request in 6 s instead of 21). After: both pass, TestConvergenceWithLoss passes.

--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -12,8 +12,18 @@
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 )
 
-// requestTimeout bounds the wait for a neighbour's response to a request.
-const requestTimeout = 300 * time.Millisecond
+const (
+	// requestTimeout bounds the wait for a neighbour's response to a request. If
+	// recent responses were slow, the bound is responseFactor times their time, up
+	// to maxRequestTimeout: on a link with a long queue, more requests only
+	// lengthen the queue.
+	requestTimeout    = 300 * time.Millisecond
+	maxRequestTimeout = 2 * time.Second
+	responseFactor    = 1.5
+	// responseSmoothing is the weight of a response that came faster than the
+	// recent ones in their time.
+	responseSmoothing = 0.3
+)
 
 // An OutgoingFrame is one frame to send to one neighbour.
 type OutgoingFrame struct {
@@ -46,8 +56,12 @@
 	// recentUpdates are consecutive updates that end at the version held.
 	recentUpdates []*messenger.Update
 
-	// peerVersions are the newest versions that the neighbours announced.
-	peerVersions map[string]uint64
+	// peers is what is known of the neighbours, by name.
+	peers map[string]*peer
+	// announcements counts the announcements of newer versions by neighbours.
+	announcements int
+	// responseTime is the time of recent responses.
+	responseTime time.Duration
 	// pendingManifest is the version whose pieces are being fetched, or nil.
 	pendingManifest *fireflymoor.Manifest
 	// pendingPeer is the neighbour whose response is awaited, or "".
@@ -57,13 +71,26 @@
 	effects Effects
 }
 
+// peer is what is known of a neighbour.
+type peer struct {
+	// version is the newest version that it announced.
+	version uint64
+	// order is the number of that announcement.
+	order int
+	// failures counts the requests to it in a row that failed.
+	failures int
+	// requestedAt is when the last request was sent to it that it has not responded
+	// to, or zero.
+	requestedAt time.Time
+}
+
 // New returns a Distributor that holds the empty version.
 func New(asserter asserter.Asserter) *Distributor {
 	return &Distributor{
-		asserter:     asserter,
-		pieces:       map[fireflymoor.Hash]string{},
-		packed:       map[packKey][]byte{},
-		peerVersions: map[string]uint64{},
+		asserter: asserter,
+		pieces:   map[fireflymoor.Hash]string{},
+		packed:   map[packKey][]byte{},
+		peers:    map[string]*peer{},
 	}
 }
 
@@ -121,7 +148,7 @@
 // OnPeerDown removes a neighbour whose link is down. A request that was pending
 // at this neighbour goes to another one.
 func (d *Distributor) OnPeerDown(peer string, now time.Time) Effects {
-	delete(d.peerVersions, peer)
+	delete(d.peers, peer)
 	if d.pendingPeer == peer {
 		d.pendingPeer = ""
 		d.requestNewest(now)
@@ -129,10 +156,47 @@
 	return d.takeEffects()
 }
 
+// recordVersion records the version that a neighbour has announced.
+func (d *Distributor) recordVersion(name string, version uint64) {
+	p := d.peers[name]
+	if p == nil {
+		p = &peer{}
+		d.peers[name] = p
+	}
+	if version > p.version {
+		d.announcements++
+		p.version = version
+		p.order = d.announcements
+	}
+}
+
+// recordFailure records that a request to a neighbour failed.
+func (d *Distributor) recordFailure(name string) {
+	if p := d.peers[name]; p != nil {
+		p.failures++
+	}
+}
+
+// recordResponse records that a neighbour has responded to a request.
+func (d *Distributor) recordResponse(name string, now time.Time) {
+	p := d.peers[name]
+	if p == nil {
+		return
+	}
+	p.failures = 0
+	if p.requestedAt.IsZero() {
+		return
+	}
+	took := now.Sub(p.requestedAt)
+	p.requestedAt = time.Time{}
+	decayed := d.responseTime + time.Duration(responseSmoothing*float64(took-d.responseTime))
+	d.responseTime = max(took, decayed)
+}
+
 // OnHead handles a neighbour's head. It requests a newer version unless another
 // request is pending.
 func (d *Distributor) OnHead(peer string, head *messenger.Head, now time.Time) Effects {
-	d.peerVersions[peer] = max(d.peerVersions[peer], head.GetNumber())
+	d.recordVersion(peer, head.GetNumber())
 	if head.GetNumber() == d.manifest.Number() && len(head.GetHash()) > 0 && head.GetNumber() > 0 {
 		localHash := d.manifest.Hash()
 		same := string(localHash[:]) == string(head.GetHash())
@@ -150,17 +214,18 @@
 	if number < d.manifest.Number() {
 		d.announce(peer)
 	}
-	if known, ok := d.peerVersions[peer]; ok && number <= known {
+	if known := d.peers[peer]; known != nil && number <= known.version {
 		return d.takeEffects()
 	}
 	return d.OnHead(peer, &messenger.Head{Number: number}, now)
 }
 
-// Tick expires a request that was not answered within requestTimeout, and sends
-// a request to another neighbour.
+// Tick expires a request that was not answered in time, and sends a request to
+// another neighbour if there is one.
 func (d *Distributor) Tick(now time.Time) Effects {
-	if d.pendingPeer != "" && now.Sub(d.requestedAt) >= requestTimeout {
-		delete(d.peerVersions, d.pendingPeer)
+	timeout := min(max(time.Duration(responseFactor*float64(d.responseTime)), requestTimeout), maxRequestTimeout)
+	if d.pendingPeer != "" && now.Sub(d.requestedAt) >= timeout {
+		d.recordFailure(d.pendingPeer)
 		d.pendingPeer = ""
 		d.requestNewest(now)
 	}
@@ -188,23 +253,39 @@
 	})
 }
 
-// newestPeer returns the neighbour with the newest version, or "" if no
-// neighbour has a newer version than the local one. Of several such neighbours
-// it returns the first by name.
+// newestPeer returns the neighbour to request a newer version from, or "" if no
+// neighbour has a newer version than the local one. It prefers the neighbours with
+// the fewest failures in a row, of these the ones with the newest version, and of
+// these the one that announced it first: it is likely to be near, and not all
+// members of a zone turn to the same one.
 func (d *Distributor) newestPeer() string {
-	peer := ""
-	best := d.manifest.Number()
-	for name, number := range d.peerVersions {
-		tie := peer != "" && number == best && name < peer
-		if number > best || tie {
-			peer = name
-			best = number
+	best := ""
+	for name, p := range d.peers {
+		if p.version <= d.manifest.Number() {
+			continue
+		}
+		if best == "" || p.before(d.peers[best]) {
+			best = name
 		}
 	}
-	return peer
+	return best
+}
+
+// before reports whether a neighbour is preferred to another one.
+func (p *peer) before(other *peer) bool {
+	switch {
+	case p.failures != other.failures:
+		return p.failures < other.failures
+	case p.version != other.version:
+		return p.version > other.version
+	}
+	return p.order < other.order
 }
 
 func (d *Distributor) sendRequest(peer string, now time.Time, frame *messenger.Frame) {
+	if p := d.peers[peer]; p != nil {
+		p.requestedAt = now
+	}
 	d.pendingPeer = peer
 	d.requestedAt = now
 	d.send(peer, frame)
@@ -231,9 +312,9 @@
 	d.pendingManifest = nil
 	d.packed = map[packKey][]byte{}
 	d.effects.Stored = true
-	for peer, known := range d.peerVersions {
-		if known < manifest.Number() {
-			d.announce(peer)
+	for name, p := range d.peers {
+		if p.version < manifest.Number() {
+			d.announce(name)
 		}
 	}
 }
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -325,3 +325,67 @@
 	is.Equal(member.Manifest().Number(), newest.Number())
 	is.Equal(member.pendingPeer, "") // no other response is awaited
 }
+
+// countRequests returns the number of requests for updates among the effects.
+func countRequests(effects Effects) int {
+	requests := 0
+	for _, send := range effects.Sends {
+		if send.Frame.GetManifestRequest() != nil {
+			requests++
+		}
+	}
+	return requests
+}
+
+// TestSlowLink delivers responses late, as on a link with a long queue. Once a
+// response has shown how long they take, a member must request each version once
+// and not from one neighbour after the other.
+func TestSlowLink(t *testing.T) {
+	const (
+		delay    = 900 * time.Millisecond
+		tick     = 100 * time.Millisecond
+		versions = 10
+	)
+	is := is.New(t)
+	s := &source{
+		pieces: map[string][2]string{},
+	}
+	holder, member := New(failingAsserter{TB: t}), New(failingAsserter{TB: t})
+	manifest, pieces := s.change("team", "base")
+	holder.Store(manifest, pieces)
+	member.Store(manifest, pieces)
+	now := time.Unix(1, 0)
+	requests := 0
+	for i := range versions {
+		held := manifest.Number()
+		manifest, pieces = s.change("team", fmt.Sprint("version ", i))
+		holder.Store(manifest, pieces)
+		for _, name := range []string{"b", "c", "d", "a"} {
+			requests += countRequests(member.OnHead(name, &messenger.Head{Number: manifest.Number()}, now))
+		}
+		is.True(i > 0 || member.pendingPeer == "b") // the first to announce it
+		first := member.pendingPeer
+		for range int(delay / tick) {
+			now = now.Add(tick)
+			requests += countRequests(member.Tick(now))
+		}
+		response := holder.OnManifestRequest("member", held)
+		member.OnUpdates(first, response.Sends[0].Frame.GetUpdates().GetUpdates(), now)
+		is.Equal(member.Manifest().Number(), manifest.Number())
+	}
+	is.True(requests <= versions+3) // only the first version was requested several times
+}
+
+// TestRequestIsRepeated lets every response be lost. Requests must go on without
+// waiting for the neighbour to announce the version again.
+func TestRequestIsRepeated(t *testing.T) {
+	is := is.New(t)
+	member := New(failingAsserter{TB: t})
+	now := time.Unix(1, 0)
+	requests := countRequests(member.OnHead("a", &messenger.Head{Number: 1}, now))
+	for range 20 {
+		now = now.Add(requestTimeout)
+		requests += countRequests(member.Tick(now))
+	}
+	is.Equal(requests, 21)
+}
--- a/internal/distributor/pull.go
+++ b/internal/distributor/pull.go
@@ -24,11 +24,12 @@
 	d.pendingPeer = ""
 	manifest, err := messenger.ToManifest(m)
 	if err != nil || manifest.Number() <= d.manifest.Number() {
-		delete(d.peerVersions, peer)
+		delete(d.peers, peer)
 		d.requestNewest(now)
 		return d.takeEffects()
 	}
-	d.peerVersions[peer] = manifest.Number()
+	d.recordResponse(peer, now)
+	d.recordVersion(peer, manifest.Number())
 	d.fetchPieces(peer, manifest, now)
 	return d.takeEffects()
 }
@@ -55,10 +56,11 @@
 	}
 	d.pendingPeer = ""
 	if !complete {
-		delete(d.peerVersions, peer)
+		delete(d.peers, peer)
 		d.requestNewest(now)
 		return d.takeEffects()
 	}
+	d.recordResponse(peer, now)
 	d.store(*d.pendingManifest, received, nil)
 	d.packed = packed
 	d.requestNewest(now)
--- a/internal/distributor/update.go
+++ b/internal/distributor/update.go
@@ -82,6 +82,7 @@
 	if !late {
 		d.pendingPeer = ""
 	}
+	d.recordResponse(peer, now)
 	for _, u := range updates {
 		if u.GetNumber() <= d.manifest.Number() {
 			continue
