internal/caller: try a call that was shed elsewhere within the retry budget

Cause: a call that a target refused although its node had given it a slot counted towards its route's retries, which bound the targets that may run it, and towards the share of refusals that lowers the number of tries.

A call that was shed has not run.

Ruled out: another try at the same target by its own node (the budget there is that of other nodes).

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -109,8 +109,8 @@
 	nested bool
 	// tried holds the ids of the targets that the call was sent to.
 	tried []string
-	// arrivals counts the tries that reached a target.
-	arrivals int
+	// runs counts the tries that a target may have run.
+	runs int
 	// failedResponse is the response of a target that failed. It is returned
 	// if no other target responds.
 	failedResponse *http.Response
@@ -248,7 +248,7 @@
 	c.request.Body, c.request.ContentLength = c.body.reader()
 	c.setPriorityHeaders(now)
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
-	h.options.RefusalRate.Record(c.service.Name, outcome == fireflymoor.NotRun && errors.Is(err, fireflymoor.ErrBusy))
+	h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
 	if err != nil {
 		end()
 		h.recordFailure(ctx, c, pick.Target, outcome, err)
@@ -270,6 +270,13 @@
 	return response, outcome, nil
 }
 
+// isSaturated reports whether a try was refused because no slot was free or the
+// target was draining. A target that sheds part of its calls refuses the others no
+// more likely for it.
+func isSaturated(outcome fireflymoor.Outcome, err error) bool {
+	return outcome == fireflymoor.NotRun && errors.Is(err, fireflymoor.ErrBusy) && !errors.Is(err, fireflymoor.ErrRefusedByTarget)
+}
+
 // setPriorityHeaders sets the call's rank and the time within which it should
 // be answered. A nested call gets no such time, as its response is useful for
 // as long as its parent runs.
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -25,17 +25,18 @@
 // mayRetry reports whether the call may be tried once more, and waits for the
 // backoff if so. A call that was not run may be tried elsewhere whatever its
 // method, a call that may have run only if its route lets the method repeat.
-// Only tries that reached a target count towards the route's retries and the
-// retry budget.
+// Only tries that may have run count towards the route's retries, and only tries
+// that reached a target towards the retry budget: a target that sheds a call has
+// not run it, but it had the work of refusing it.
 func (h *Handler) mayRetry(ctx context.Context, c *call, outcome fireflymoor.Outcome, err error) bool {
 	mayRepeat := outcome == fireflymoor.NotRun || c.route.MayRepeat(c.request.Method)
 	arrived := outcome == fireflymoor.Unknown || errors.Is(err, fireflymoor.ErrRefusedByTarget)
-	if arrived {
-		c.arrivals++
+	if outcome == fireflymoor.Unknown {
+		c.runs++
 	}
 	tryLimit := h.options.RefusalRate.MaxTries(c.service.Name, maxTries)
 	switch {
-	case errors.Is(err, errNoTarget), c.arrivals > c.route.Retries, len(c.tried) >= tryLimit, !mayRepeat, ctx.Err() != nil:
+	case errors.Is(err, errNoTarget), c.runs > c.route.Retries, len(c.tried) >= tryLimit, !mayRepeat, ctx.Err() != nil:
 		return false
 	case !c.body.replayable():
 		h.options.Log.Info().Str("call", c.id).Err(errBodyNotReplayable).Msg("caller: no retry")
@@ -44,7 +45,7 @@
 		h.options.Log.Info().Str("call", c.id).Str("service", c.service.Name).Err(errRetryBudgetSpent).Msg("caller: no retry")
 		return false
 	}
-	return retrier.Wait(ctx, c.arrivals, outcome) == nil
+	return retrier.Wait(ctx, c.runs, outcome) == nil
 }
 
 // retryDelay returns how long the caller of a call that was not run should wait
