internal/coordinator: test the silent loss of most of a zone

Suspected: a process with more than three signs of a fault near itself in 4 s does not take timeouts for evidence, and neighbours that are lost for good keep giving such signs, so that the last of many losses would never be suspected.

No change of the code; the test keeps 32.

--- a/internal/coordinator/network_test.go
+++ b/internal/coordinator/network_test.go
@@ -27,6 +27,8 @@
 	lock      sync.Mutex
 	listeners map[string]*simulatedListener
 	links     map[string]*simulatedLink
+	// cut are the addresses that nothing reaches and that reach nothing.
+	cut map[string]bool
 	// bytesPerSecond returns the bandwidth of an address's link in each direction.
 	bytesPerSecond func(address string) float64
 }
@@ -42,6 +44,7 @@
 	return &simulatedNetwork{
 		listeners:      map[string]*simulatedListener{},
 		links:          map[string]*simulatedLink{},
+		cut:            map[string]bool{},
 		bytesPerSecond: bytesPerSecond,
 	}
 }
@@ -55,6 +58,22 @@
 	return l
 }
 
+// isolate cuts addresses off.
+func (n *simulatedNetwork) isolate(addresses []string) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	for _, address := range addresses {
+		n.cut[address] = true
+	}
+}
+
+// isCut reports whether nothing gets from one address to another.
+func (n *simulatedNetwork) isCut(from, to string) bool {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	return n.cut[from] || n.cut[to]
+}
+
 // transfer reserves the links for a number of bytes and returns when the sender
 // has sent them and when they have arrived.
 func (n *simulatedNetwork) transfer(from, to string, size int) (sent, arrived time.Time) {
@@ -106,6 +125,10 @@
 // dialFrom returns a dial function for the process at an address.
 func (n *simulatedNetwork) dialFrom(from string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		if n.isCut(from, address) {
+			<-ctx.Done()
+			return nil, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+		}
 		for _, end := range [][2]string{{from, address}, {address, from}} {
 			_, arrived := n.transfer(end[0], end[1], 0)
 			select {
@@ -210,6 +233,9 @@
 	if closed {
 		return 0, net.ErrClosed
 	}
+	if c.network.isCut(c.from, c.to) {
+		return len(p), nil
+	}
 	data := append([]byte{}, p...)
 	sent, arrived := c.network.transfer(c.from, c.to, len(data))
 	time.AfterFunc(time.Until(arrived), func() {
@@ -232,6 +258,9 @@
 // Close implements net.Conn. The other end reads what was sent before.
 func (c *simulatedConn) Close() error {
 	c.update(func() { c.closed = true })
+	if c.network.isCut(c.from, c.to) {
+		return nil
+	}
 	_, arrived := c.network.transfer(c.from, c.to, 0)
 	time.AfterFunc(time.Until(arrived), func() {
 		c.peer.update(func() { c.peer.ended = true })
--- a/internal/coordinator/start_test.go
+++ b/internal/coordinator/start_test.go
@@ -184,3 +184,46 @@
 		is.True(float64(most) < calmBytesPerSecond*calm.Seconds())
 	})
 }
+
+// TestSilentLosses cuts off four fifths of the members of one zone at once, without a
+// sign: a gray failure of many. All other members must suspect exactly these, also
+// though each sees several neighbours fail, and the overlay must be quiet then.
+func TestSilentLosses(t *testing.T) {
+	const (
+		lost          = 32
+		detectionTime = 15 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		defer group.Wait()
+		defer cancel()
+		f := startFleet(ctx, is, &group, 1)
+		time.Sleep(startDeadline)
+		var gone []string
+		remaining := &simulatedFleet{
+			ctx: ctx,
+		}
+		for i, name := range f.names {
+			if i%fleetZones == 1 && len(gone) < lost && i >= fleetSeeds {
+				gone = append(gone, f.addresses[i])
+				continue
+			}
+			remaining.names = append(remaining.names, name)
+			remaining.members = append(remaining.members, f.members[i])
+		}
+		f.network.isolate(gone)
+		began := time.Now()
+		complete, suspected := 0, 0
+		for suspected < lost*len(remaining.members) && time.Since(began) < detectionTime {
+			time.Sleep(100 * time.Millisecond)
+			_, suspected = remaining.complete()
+		}
+		t.Logf("%d of %d suspicions known after %s", suspected, lost*len(remaining.members), time.Since(began))
+		time.Sleep(detectionTime)
+		complete, suspected = remaining.complete()
+		is.Equal(suspected, lost*len(remaining.members))
+		is.Equal(complete, len(remaining.members))
+	})
+}
