--- a/internal/caller/idempotency_test.go
+++ b/internal/caller/idempotency_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
 	"github.com/fireflymoor/fireflymoor/internal/claimer"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
@@ -97,3 +98,37 @@
 		})
 	}
 }
+
+// TestKeysOff sends a call with a key through a node that keeps no claims. The call
+// must be served, and the target must get the key. Its header has a lower-case name,
+// as with keys on.
+func TestKeysOff(t *testing.T) {
+	is := is.New(t)
+	f := &headerForwarder{}
+	h := newHandler(&f.drainingForwarder)
+	h.options.Forwarder = f
+	h.options.Claims = nil
+	request := httptest.NewRequest(http.MethodPost, "/x", http.NoBody)
+	request.Header.Set(annotator.IdempotencyKey, "key")
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, request)
+	is.Equal(w.Code, http.StatusOK)
+	is.Equal(f.header["idempotency-key"], []string{"key"})
+}
+
+// headerForwarder is a forwarder that keeps the headers of the last call.
+type headerForwarder struct {
+	drainingForwarder
+
+	header http.Header
+}
+
+// Forward implements fireflymoor.Forwarder.
+func (f *headerForwarder) Forward(_ context.Context, _ fireflymoor.Target, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
+	f.header = in.Header.Clone()
+	return &http.Response{
+		StatusCode: http.StatusOK,
+		Header:     http.Header{},
+		Body:       http.NoBody,
+	}, fireflymoor.Answered, nil
+}
