--- a/review/standin/case_early.go
+++ b/review/standin/case_early.go
@@ -23,12 +23,19 @@
 	uploads   = 40
 	// earlyEvery is the number of uploads of which the worker answers one early.
 	earlyEvery = 20
-	// answerBody is the length of the worker's answer.
-	answerBody = 70_000
+	// longAnswer and shortAnswer are the lengths of the worker's answers on the
+	// unsafe and the safe route.
+	longAnswer  = 70_000
+	shortAnswer = 6_000
 )
 
-// earlyPath is the path of the uploads that the worker answers early.
-const earlyPath = "/lepu270/early"
+// Prefixes of the routes, and the end of the paths of the uploads that the worker
+// answers early.
+const (
+	unsafePrefix = "/lepu270/"
+	safePrefix   = "/xapu221/"
+	earlyName    = "early"
+)
 
 // block returns the numbered block of an upload.
 func block(number int) string {
@@ -84,31 +91,39 @@
 			_, _ = io.WriteString(out, "ok")
 			return
 		}
-		early := d.trouble && request.URL.Path == earlyPath
+		early := d.trouble && strings.HasSuffix(request.URL.Path, earlyName)
+		length := longAnswer
+		if strings.HasPrefix(request.URL.Path, safePrefix) {
+			length = shortAnswer
+		}
 		if !early {
 			check.read(d, id, request.Body)
 		}
-		out.Header().Set("Content-Length", fmt.Sprint(answerBody))
+		out.Header().Set("Content-Length", fmt.Sprint(length))
 		controller := http.NewResponseController(out)
 		_ = controller.EnableFullDuplex()
-		_, _ = io.WriteString(out, strings.Repeat("x", answerBody))
+		_, _ = io.WriteString(out, strings.Repeat("x", length))
 		_ = controller.Flush()
 		if early {
 			d.write("worker has answered %s before it has read it", id)
 			check.read(d, id, request.Body)
 		}
 	}
-	caller, err := d.startPair(serve, newRoute("r-upload", "/lepu270/", "unsafe", firstName))
+	caller, err := d.startPair(serve,
+		newRoute("r-unsafe", unsafePrefix, "unsafe", firstName), newRoute("r-safe", safePrefix, "safe", firstName))
 	if err != nil {
 		return false, err
 	}
-	if err := d.waitForService(caller, "/lepu270/ready"); err != nil {
+	if err := d.waitForService(caller, unsafePrefix+"ready"); err != nil {
 		return false, err
 	}
 	for i := range uploads {
-		target := "/lepu270/2f"
+		target := unsafePrefix
+		if i >= uploads/2 {
+			target = safePrefix
+		}
 		if i%earlyEvery == 0 {
-			target = earlyPath
+			target += earlyName
 		}
 		d.upload(caller, target, i%2 == 0)
 	}
