--- a/review/standin/case_early.go
+++ b/review/standin/case_early.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,7 +22,8 @@
 	// blockSize is the length of one numbered block of an upload.
 	blockSize = 16
 	uploads   = 40
-	// earlyEvery is the number of uploads of which the worker answers one early.
+	// earlyEvery is the number of uploads that a worker gets for each that it answers
+	// early.
 	earlyEvery = 20
 	// longAnswer and shortAnswer are the lengths of the worker's answers on the
 	// unsafe and the safe route.
@@ -29,12 +31,10 @@
 	shortAnswer = 6_000
 )
 
-// Prefixes of the routes, and the end of the paths of the uploads that the worker
-// answers early.
+// Prefixes of the routes.
 const (
 	unsafePrefix = "/lepu270/"
 	safePrefix   = "/xapu221/"
-	earlyName    = "early"
 )
 
 // block returns the numbered block of an upload.
@@ -81,22 +81,64 @@
 	}
 }
 
-// playEarly has a worker answer some long uploads before it has read them and read on
-// afterwards. Without trouble it answers all when it has read them.
+// playEarly has one of two workers of a service answer some long uploads before it has
+// read them and read on afterwards. Without trouble it answers all when it has read
+// them, as the other one does.
 func playEarly(d *deployment) (bool, error) {
 	check := &uploadCheck{}
-	serve := func(out http.ResponseWriter, request *http.Request) {
+	caller, err := d.startPair(d.uploadServer(check, d.trouble),
+		newRoute("r-unsafe", unsafePrefix, "unsafe", firstName), newRoute("r-safe", safePrefix, "safe", firstName))
+	if err != nil {
+		return false, err
+	}
+	other, err := d.startNode(2, 3, firstName)
+	if err != nil {
+		return false, err
+	}
+	if err := waitUntil("the third node is ready", func() bool { return ready(other.IP) }); err != nil {
+		return false, err
+	}
+	if _, err := d.startWorker("i-33cc44dd", other.IP, firstName, d.uploadServer(check, false)); err != nil {
+		return false, err
+	}
+	if err := d.waitForService(caller, unsafePrefix+"ready"); err != nil {
+		return false, err
+	}
+	time.Sleep(contactTime)
+	for i := range uploads {
+		prefix := unsafePrefix
+		if i%4 >= 2 {
+			prefix = safePrefix
+		}
+		d.upload(caller, prefix+"2f", i%2 == 0)
+	}
+	time.Sleep(time.Second)
+	check.lock.Lock()
+	defer check.lock.Unlock()
+	d.write("%d uploads: the workers read %d whole, %d broken off, %d with other bytes", uploads, check.whole, check.short, check.changed)
+	return check.changed > 0, nil
+}
+
+// uploadServer returns the handler of a worker that reads uploads and checks them. If
+// early is set, it answers one in earlyEvery of them before it has read it, beginning
+// with the first that comes in chunks.
+func (d *deployment) uploadServer(check *uploadCheck, early bool) http.HandlerFunc {
+	var since atomic.Int64
+	since.Store(earlyEvery)
+	return func(out http.ResponseWriter, request *http.Request) {
 		id := request.Header.Get(idHeader)
 		if request.ContentLength == 0 {
 			_, _ = io.WriteString(out, "ok")
 			return
 		}
-		early := d.trouble && strings.HasSuffix(request.URL.Path, earlyName)
 		length := longAnswer
 		if strings.HasPrefix(request.URL.Path, safePrefix) {
 			length = shortAnswer
 		}
-		if !early {
+		now := early && since.Add(1) > earlyEvery && request.ContentLength < 0
+		if now {
+			since.Store(0)
+		} else {
 			check.read(d, id, request.Body)
 		}
 		out.Header().Set("Content-Length", fmt.Sprint(length))
@@ -104,34 +146,11 @@
 		_ = controller.EnableFullDuplex()
 		_, _ = io.WriteString(out, strings.Repeat("x", length))
 		_ = controller.Flush()
-		if early {
+		if now {
 			d.write("worker has answered %s before it has read it", id)
 			check.read(d, id, request.Body)
 		}
 	}
-	caller, err := d.startPair(serve,
-		newRoute("r-unsafe", unsafePrefix, "unsafe", firstName), newRoute("r-safe", safePrefix, "safe", firstName))
-	if err != nil {
-		return false, err
-	}
-	if err := d.waitForService(caller, unsafePrefix+"ready"); err != nil {
-		return false, err
-	}
-	for i := range uploads {
-		target := unsafePrefix
-		if i >= uploads/2 {
-			target = safePrefix
-		}
-		if i%earlyEvery == 0 {
-			target += earlyName
-		}
-		d.upload(caller, target, i%2 == 0)
-	}
-	time.Sleep(time.Second)
-	check.lock.Lock()
-	defer check.lock.Unlock()
-	d.write("%d uploads: the worker read %d whole, %d broken off, %d with other bytes", uploads, check.whole, check.short, check.changed)
-	return check.changed > 0, nil
 }
 
 // upload sends a long body in pieces, with a length or in chunks, and reads the
--- a/review/standin/case_wipe.go
+++ b/review/standin/case_wipe.go
@@ -22,8 +22,8 @@
 	catchUpMargin = 500 * time.Millisecond
 	// awayTime is how long a machine is away that lost its disk.
 	awayTime = 500 * time.Millisecond
-	// stormLead is how long changes come before the first disk is lost, and stormTime
-	// the longest for_s of a config_storm of the small site.
+	// stormLead is how long changes come before the first disk is lost. stormTime is
+	// less than five storms of the small site of for_s = 1.5 one after the other.
 	stormLead = 500 * time.Millisecond
 	stormTime = 7 * time.Second
 	// readBackTime is how long the configuration is read back at the end, more than
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -22,10 +23,13 @@
 	portInbound  = 7013
 	portTarget   = 7014
 	portInternal = 7020
+	portReserved = 7030
 )
 
 const (
 	coreHost     = 100
+	reservedHost = 200
+	clusterTries = 10
 	pollInterval = 10 * time.Millisecond
 	startTimeout = 25 * time.Second
 	// logLines is how many lines of each log are written to the record of a case
@@ -42,10 +46,12 @@
 	*record
 	trouble bool
 	cluster *launcher.Cluster
-	seeds   []string
-	cores   []*launcher.Process
-	nodes   []*launcher.Process
-	workers []*worker
+	// reservation keeps other stand-ins from the deployment's addresses.
+	reservation net.Listener
+	seeds       []string
+	cores       []*launcher.Process
+	nodes       []*launcher.Process
+	workers     []*worker
 }
 
 // newDeployment starts the core machines.
@@ -58,18 +64,15 @@
 	if err != nil {
 		return nil, err
 	}
-	cluster, err := launcher.New(launcher.Spec{
-		Program: program,
-		Folder:  folder,
-		Zones:   zones,
-	})
+	cluster, reservation, err := newCluster(program, folder)
 	if err != nil {
 		return nil, err
 	}
 	d := &deployment{
-		record:  r,
-		trouble: trouble,
-		cluster: cluster,
+		record:      r,
+		trouble:     trouble,
+		cluster:     cluster,
+		reservation: reservation,
 	}
 	d.write("trouble: %v", trouble)
 	for zone := range zones {
@@ -84,6 +87,28 @@
 	return d, nil
 }
 
+// newCluster returns a cluster on a block of addresses and a listener that reserves
+// the block.
+func newCluster(program, folder string) (*launcher.Cluster, net.Listener, error) {
+	var failure error
+	for range clusterTries {
+		cluster, err := launcher.New(launcher.Spec{
+			Program: program,
+			Folder:  folder,
+			Zones:   zones,
+		})
+		if err != nil {
+			return nil, nil, err
+		}
+		reservation, err := net.Listen("tcp", address(cluster.IP(0, reservedHost), portReserved))
+		if err == nil {
+			return cluster, reservation, nil
+		}
+		failure = err
+	}
+	return nil, nil, failure
+}
+
 // stop ends all processes that the deployment started.
 func (d *deployment) stop() {
 	for _, w := range d.workers {
@@ -92,6 +117,7 @@
 	for _, name := range d.cluster.Stop() {
 		d.write("%s had to be killed at the end", name)
 	}
+	_ = d.reservation.Close()
 }
 
 // writeLogs writes the ends of the processes' logs to the record.
