internal/replicator: change the membership also under load

What operators saw: two of three control replicas lost their disks, the second 4.5 s after the first had been started again, while a change came every 60 ms.

Cause: the leader proposed membership changes only when a heartbeat was due. Each proposal and each round of reads postpones the next heartbeat, so that requests less than 100 ms apart postponed the removal of the lost disk and the admission of the new one without end.

Ruled out: a replica that cannot catch up. It had every entry; only the proposal was missing.

Fix: the leader considers a membership change with each tick, and sends the entry at once. Looked for on related paths: the quorum check has its own timestamp, resends of entries go with any round, and links send a due heartbeat before queued frames.

--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -23,8 +23,10 @@
 			return
 		}
 	}
-	if !now.Before(r.nextHeartbeat) {
-		r.changeMembership(now)
+	last := r.lastIndex()
+	// Proposals and reads postpone the next heartbeat, but must not postpone this.
+	r.changeMembership(now)
+	if r.lastIndex() > last || !now.Before(r.nextHeartbeat) {
 		r.replicate(now)
 		r.advanceCommit()
 	}
