internal/replicator: admit a replica that is always a little behind

Found by looking for other duties that traffic can put off; no run of real processes showed it.

Cause: a replica was admitted only if it had every entry that is committed at that moment. One with a higher latency than the other followers never has while changes are in flight.

Evidence: TestAdmissionOfLaggingReplica, with 20 ms of additional latency, a third of an election timeout, and a change each 5 ms, failed before: not admitted within 1 s. With random delays in place of the latency, the test failed only in some runs, as the leader then finds the replica complete by chance; that form was dropped.

Fix: the rounds of the Raft thesis. The replica has caught up if it had all of a commit index within an election timeout. The entries that it may lack are stored by a quorum without it, and a log that lacks them gets no vote from that quorum.

--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -30,7 +30,11 @@
 	lossRate     float64
 	// delayRates are the probabilities, by sender, that a message stays in
 	// flight for one more step.
-	delayRates   map[string]float64
+	delayRates map[string]float64
+	// latencies are the additional times, by sender, that its messages are in
+	// flight. arrivals are the times at which such messages are due.
+	latencies    map[string]time.Duration
+	arrivals     map[*messenger.ReplicaMessage]time.Time
 	admitAnyDisk bool
 
 	// committed maps each index to the value that a replica has applied there.
@@ -79,6 +83,8 @@
 		replicas:     map[string]*testReplica{},
 		blockedLinks: map[[2]string]bool{},
 		delayRates:   map[string]float64{},
+		latencies:    map[string]time.Duration{},
+		arrivals:     map[*messenger.ReplicaMessage]time.Time{},
 		admitAnyDisk: admitAnyDisk,
 		committed:    map[uint64]string{},
 		leaders:      map[uint64]string{},
@@ -179,7 +185,11 @@
 		m.save(*effects.Save)
 	}
 	for _, message := range effects.Messages {
-		c.network = append(c.network, proto.CloneOf(message))
+		message = proto.CloneOf(message)
+		c.network = append(c.network, message)
+		if latency := c.latencies[m.name]; latency > 0 {
+			c.arrivals[message] = c.now.Add(latency)
+		}
 	}
 	if effects.Restore != nil {
 		m.restore(effects.Restore)
@@ -281,10 +291,14 @@
 		return
 	case c.lossRate > 0 && c.random.Float64() < c.lossRate:
 		c.network = append(c.network, m)
+	case c.now.Before(c.arrivals[m]):
+		c.network = append(c.network, m)
+		return
 	case to.frozen, c.random.Float64() < c.delayRates[m.GetFrom()]:
 		c.network = append(c.network, m)
 		return
 	}
+	delete(c.arrivals, m)
 	if to.up {
 		c.handle(to, to.Step(proto.CloneOf(m), c.now))
 	}
@@ -348,6 +362,7 @@
 	c.blockedLinks = map[[2]string]bool{}
 	c.lossRate = 0
 	c.delayRates = map[string]float64{}
+	c.latencies = map[string]time.Duration{}
 	for _, name := range c.names {
 		m := c.replicas[name]
 		m.frozen = false
--- a/internal/replicator/load_test.go
+++ b/internal/replicator/load_test.go
@@ -11,6 +11,10 @@
 // must be admitted again.
 const testAdmission = 200
 
+// testLatency is the additional latency of a distant replica, below an election
+// timeout.
+const testLatency = 4 * testStep
+
 // load is a source of requests to the leader, which are made more often than it
 // sends heartbeats.
 type load struct {
@@ -77,3 +81,25 @@
 		})
 	}
 }
+
+// TestAdmissionOfLaggingReplica guards against the same loss where a replica is
+// always behind: it was admitted only when it had every committed entry, while more
+// were committed without it.
+func TestAdmissionOfLaggingReplica(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		c := newCluster(t, seed, 3, false)
+		c.commit("first")
+		c.replaceDisk("c")
+		c.latencies["c"] = testLatency
+		steps := 0
+		for ; steps < testAdmission && !c.admitted("c"); steps++ {
+			c.propose(fmt.Sprint("change", steps))
+			c.step()
+		}
+		is.True(steps < testAdmission) // the replica is admitted under load
+		c.heal()
+		c.commit("last")
+		c.checkConvergence()
+	}
+}
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -204,6 +204,7 @@
 			trackedSince: p.trackedSince,
 			next:         r.lastIndex() + 1,
 			admitIndex:   r.commit,
+			admitSince:   now,
 		}
 	}
 	p.lastContact = now
@@ -257,8 +258,7 @@
 
 // changeMembership proposes at most one membership change, and none while the
 // last one is uncommitted. It removes a member whose disk has changed, or admits
-// a replica that has everything that was committed when its disk was first seen
-// and everything committed now, or removes an unresponsive member for which a
+// a replica that has caught up, or removes an unresponsive member for which a
 // replacement was admitted.
 func (r *Replicator) changeMembership(now time.Time) {
 	if r.config.AdmitAnyDisk && len(r.members()) == len(r.config.Peers) {
@@ -277,7 +277,7 @@
 			r.trackPeers(now)
 			return
 		}
-		if p.match >= p.admitIndex && p.match >= r.commit {
+		if r.caughtUp(p, now) {
 			r.admit(name, p.disk)
 			return
 		}
@@ -285,6 +285,21 @@
 	r.removeUnresponsive(now)
 }
 
+// caughtUp reports whether a peer has all that was committed less than an
+// election timeout ago. To ask for all that is committed now would keep out a
+// peer that is always a little behind the other members.
+func (r *Replicator) caughtUp(p *progress, now time.Time) bool {
+	if p.match < p.admitIndex {
+		return false
+	}
+	if p.match >= r.commit || now.Sub(p.admitSince) < r.config.MinElectionTimeout {
+		return true
+	}
+	p.admitIndex = r.commit
+	p.admitSince = now
+	return false
+}
+
 // admit proposes a replica as a member. A founding replica increases the size,
 // unless it takes the place of a member that was removed, such as itself with an
 // earlier disk.
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -38,8 +38,10 @@
 	// match is the highest index at which the peer's log is known to match.
 	match uint64
 	// admitIndex is the index that the peer must have before it is admitted:
-	// the commit index when its disk was first seen.
+	// the commit index at admitSince, which is when its disk was first seen or
+	// when it had the last such index too late.
 	admitIndex uint64
+	admitSince time.Time
 	// ackedRound is the latest round that the peer has replied to.
 	ackedRound  uint64
 	lastContact time.Time
