Keep the notices of targets that leave over a restart of their node

What callers saw: a target left, its node acknowledged that and was killed.

Cause: the notice was held only by the memory of the node's process; the instances have no disk. On related paths the same was true of a draining target and of one drained by command.

Ruled out: an error in the order of announcements. With the notice known, the late one is ignored (target.TestLateAnnouncements, unchanged).

Fix: the node's fact names its departures. Members keep the departures of a node's earlier runs and send them to its new run, which repeats them in its own fact. The delivery uses a hello with a new flag, which older builds take for a join: they store the fact too, with the fields that they do not know.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -44,6 +44,9 @@
 type record struct {
 	fact      *messenger.Fact
 	changedAt time.Time
+	// unrepeated are the departures that earlier runs of the member announced and
+	// its current run has not.
+	unrepeated []*messenger.Departure
 }
 
 // New returns an Announcer that holds only self, the fact of this process.
@@ -62,10 +65,12 @@
 
 // put replaces the fact of a member, and records the time of the change.
 func (a *Announcer) put(fact *messenger.Fact, now time.Time) {
+	unrepeated := unrepeatedDepartures(a.facts[fact.GetName()], fact)
 	a.drop(fact.GetName())
 	a.facts[fact.GetName()] = &record{
-		fact:      fact,
-		changedAt: now,
+		fact:       fact,
+		changedAt:  now,
+		unrepeated: unrepeated,
 	}
 	a.toggleDigest(fact)
 }
@@ -227,10 +232,12 @@
 	return next
 }
 
-// SetTargets replaces this process's targets and returns the fact to flood.
-func (a *Announcer) SetTargets(targets []*messenger.Target, now time.Time) *messenger.Fact {
+// SetTargets replaces this process's targets and departures, and returns the fact
+// to flood.
+func (a *Announcer) SetTargets(targets []*messenger.Target, departures []*messenger.Departure, now time.Time) *messenger.Fact {
 	return a.change(now, func(next *messenger.Fact) {
 		next.Targets = targets
+		next.Departures = departures
 	})
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -59,6 +59,9 @@
 	VersionStored()
 	// MembersChanged reports that members or their targets have changed.
 	MembersChanged()
+	// DeparturesLearned passes the departures that an earlier run of this process
+	// announced, as far as another member knows them.
+	DeparturesLearned(departures []*messenger.Departure)
 }
 
 // Options configures a Coordinator.
@@ -231,9 +234,10 @@
 	})
 }
 
-// SetTargets replaces this process's targets and floods the change.
-func (c *Coordinator) SetTargets(targets []*messenger.Target) {
-	c.flood(c.announcer.SetTargets(targets, time.Now()), "")
+// SetTargets replaces this process's targets and departures, and floods the
+// change.
+func (c *Coordinator) SetTargets(targets []*messenger.Target, departures []*messenger.Departure) {
+	c.flood(c.announcer.SetTargets(targets, departures, time.Now()), "")
 	c.options.Watcher.MembersChanged()
 }
 
--- a/internal/coordinator/handler.go
+++ b/internal/coordinator/handler.go
@@ -59,9 +59,11 @@
 		return response, true
 	}
 	err := c.options.Sequencer.Do(ctx, func() {
-		response = append(response, factsFrame(&messenger.Facts{
-			Facts: c.sample(hello.GetSelf()),
-		}))
+		if !hello.GetAnnouncing() {
+			response = append(response, factsFrame(&messenger.Facts{
+				Facts: c.sample(hello.GetSelf()),
+			}))
+		}
 		c.merge([]*messenger.Fact{hello.GetSelf()}, "")
 	})
 	if err != nil {
@@ -92,6 +94,9 @@
 	if old := c.announcer.Fact(joiner.GetName()); old != nil {
 		facts = append(facts, old)
 	}
+	if earlier := c.announcer.Earlier(joiner.GetName()); earlier != nil {
+		facts = append(facts, earlier)
+	}
 	return facts
 }
 
@@ -120,6 +125,11 @@
 	p.unwantedSince = time.Time{}
 	c.options.Log.Debug().Str("peer", name).Bool("dialed", link.Dialed()).Msg("overlay: link up")
 	c.merge([]*messenger.Fact{link.Peer()}, name)
+	if earlier := c.announcer.Earlier(name); earlier != nil {
+		link.Send(factsFrame(&messenger.Facts{
+			Facts: []*messenger.Fact{earlier},
+		}))
+	}
 	c.Apply(c.distributor.OnPeerUp(name, link.Head(), now))
 	if link.Dialed() && now.Sub(c.digestSentAt) > digestInterval {
 		c.sendDigest(link)
@@ -247,6 +257,9 @@
 		if fact.GetName() == "" {
 			continue
 		}
+		if c.announcer.IsEarlier(fact) {
+			c.options.Watcher.DeparturesLearned(fact.GetDepartures())
+		}
 		update := c.announcer.Merge(fact, now)
 		if update == nil {
 			c.markHolder(fact.GetName(), from)
--- a/internal/coordinator/offer_test.go
+++ b/internal/coordinator/offer_test.go
@@ -36,6 +36,8 @@
 	coordinator *Coordinator
 	sequencer   *sequencer.Sequencer
 	registry    *prometheus.Registry
+	// departures are those that the member learned.
+	departures []*messenger.Departure
 }
 
 // Link implements messenger.DRPCOverlayServer.
@@ -49,7 +51,16 @@
 // MembersChanged implements Watcher.
 func (m *overlayMember) MembersChanged() {}
 
+// DeparturesLearned implements Watcher.
+func (m *overlayMember) DeparturesLearned(departures []*messenger.Departure) {
+	m.departures = departures
+}
+
 func startMember(ctx context.Context, is *is.I, group *sync.WaitGroup, name, zone, seed string) (*overlayMember, string) {
+	return startMemberWithBoot(ctx, is, group, name, zone, seed, 1)
+}
+
+func startMemberWithBoot(ctx context.Context, is *is.I, group *sync.WaitGroup, name, zone, seed string, boot uint64) (*overlayMember, string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	address := listener.Addr().String()
@@ -66,7 +77,7 @@
 		Self: &messenger.Fact{
 			Name:           name,
 			Zone:           zone,
-			Boot:           1,
+			Boot:           boot,
 			Sequence:       1,
 			OverlayAddress: address,
 		},
@@ -193,7 +204,7 @@
 				Id:      names[i] + "/target",
 				Service: "service",
 				Slots:   testSlots,
-			}})
+			}}, nil)
 			size = proto.Size(m.coordinator.announcer.Self())
 		}))
 	}
--- a/internal/coordinator/start_test.go
+++ b/internal/coordinator/start_test.go
@@ -106,7 +106,7 @@
 				Id:      f.names[i] + "/target",
 				Service: "catalogo",
 				Slots:   testSlots,
-			}})
+			}}, nil)
 		})
 	})
 	return m
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -71,17 +71,32 @@
 // link came up, and returns the reason for which it ended.
 func (l *Linker) Open(ctx context.Context, address string) (bool, error) {
 	opened := false
-	err := l.open(ctx, address, false, &opened)
+	err := l.open(ctx, address, forLink, &opened)
 	return opened, err
 }
 
 // Join requests a sample of members from a seed, and passes it to the handler as
 // a frame of facts. It returns a RetryAfterError if the seed refuses.
 func (l *Linker) Join(ctx context.Context, address string) error {
-	return l.open(ctx, address, true, new(bool))
+	return l.open(ctx, address, forSample, new(bool))
 }
 
-func (l *Linker) open(ctx context.Context, address string, joining bool, opened *bool) error {
+// Announce delivers the fact of this process to a member. When it returns nil, the
+// member has stored it. It returns a RetryAfterError if the member refuses.
+func (l *Linker) Announce(ctx context.Context, address string) error {
+	return l.open(ctx, address, forAnnouncement, new(bool))
+}
+
+// purpose is what a link is opened for.
+type purpose int
+
+const (
+	forLink purpose = iota
+	forSample
+	forAnnouncement
+)
+
+func (l *Linker) open(ctx context.Context, address string, purpose purpose, opened *bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	conn, err := Dial(ctx, address, l.dialer)
@@ -99,17 +114,22 @@
 	if err != nil {
 		return errors.Wrapf(err, "linker %s: open link", address)
 	}
-	if err := s.Send(l.handler.Hello(joining)); err != nil {
+	hello := l.handler.Hello(purpose != forLink)
+	hello.GetHello().Announcing = purpose == forAnnouncement
+	if err := s.Send(hello); err != nil {
 		return errors.Wrapf(err, "linker %s: send hello", address)
 	}
 	link := newLink(cancel, true)
-	if joining {
+	if purpose == forSample {
 		openTimer.Reset(fastReceiveTimeout)
 		return l.receiveSample(s, link, address)
 	}
 	if err := link.receiveHello(s); err != nil {
 		return errors.Wrapf(err, "linker %s: receive hello", address)
 	}
+	if purpose == forAnnouncement {
+		return nil
+	}
 	openTimer.Stop()
 	*opened = true
 	return link.run(ctx, s, l.handler, l.dialer.Counter())
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -55,11 +55,16 @@
 			return
 		}
 		targets.Announce(a, time.Now())
+		if a.Draining {
+			secure(w, r, targets)
+		}
 	})
 	mux.HandleFunc("DELETE /v1/targets/{id}", func(w http.ResponseWriter, r *http.Request) {
 		if err := targets.Withdraw(r.PathValue("id")); err != nil {
 			http.Error(w, err.Error(), http.StatusNotFound)
+			return
 		}
+		secure(w, r, targets)
 	})
 	mux.HandleFunc("POST /v1/targets/{id}/drain", func(w http.ResponseWriter, r *http.Request) {
 		idle, err := targets.Drain(r.PathValue("id"))
@@ -67,7 +72,7 @@
 			http.Error(w, err.Error(), http.StatusNotFound)
 			return
 		}
-		if r.URL.Query().Get("wait") == "" {
+		if !secure(w, r, targets) || r.URL.Query().Get("wait") == "" {
 			return
 		}
 		select {
@@ -77,6 +82,16 @@
 	})
 }
 
+// secure makes the notices of draining and leaving targets known to other processes.
+// If it cannot, it responds with status 503 and returns false.
+func secure(w http.ResponseWriter, r *http.Request, targets *target.Registry) bool {
+	if err := targets.Secure(r.Context()); err != nil {
+		http.Error(w, "the notice cannot be made known to other nodes", http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
 // validate returns why an announcement is invalid, or "" if it is valid.
 func validate(a target.Announcement) string {
 	host, _, err := net.SplitHostPort(a.Address)
--- a/internal/runner/call_test.go
+++ b/internal/runner/call_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -59,7 +60,7 @@
 	b.Cleanup(targetServer.Close)
 	log := zerolog.New(diode.NewWriter(io.Discard, maxQueuedLogLines, 0, func(int) {}))
 	dial := dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry()))
-	registry := target.NewRegistry("far", time.Hour, log, func([]*messenger.Target) {})
+	registry := target.NewRegistry("far", time.Hour, log, func([]*messenger.Target, []*messenger.Departure) {}, func(context.Context) error { return nil })
 	registry.Announce(target.Announcement{
 		ID:      "target",
 		Service: "service",
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -166,6 +166,10 @@
 	c.refreshPeers()
 }
 
+// DeparturesLearned implements coordinator.Watcher. A control replica has no
+// targets.
+func (*control) DeparturesLearned([]*messenger.Departure) {}
+
 // Run implements fireflymoor.Process.
 func (c *control) Run(ctx context.Context) error {
 	defer c.close()
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -99,7 +99,9 @@
 	n.remote = forwarder.NewRemote(m.dialer, n.packer)
 	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
 	n.view.Store(&empty)
-	n.targets = target.NewRegistry(settings.Name, settings.Lease, m.log, n.targetsChanged)
+	n.targets = target.NewRegistry(settings.Name, settings.Lease, m.log, n.targetsChanged, func(ctx context.Context) error {
+		return n.coordinator.Secure(ctx)
+	})
 	m.initCoordinator(&messenger.Fact{
 		Team:        settings.Team,
 		CallAddress: settings.AdvertisedCalls,
@@ -258,12 +260,17 @@
 }
 
 // targetsChanged announces the instance's targets to the overlay.
-func (n *node) targetsChanged(targets []*messenger.Target) {
+func (n *node) targetsChanged(targets []*messenger.Target, departures []*messenger.Departure) {
 	n.sequencer.Post(func() {
-		n.coordinator.SetTargets(targets)
+		n.coordinator.SetTargets(targets, departures)
 	})
 }
 
+// DeparturesLearned implements coordinator.Watcher.
+func (n *node) DeparturesLearned(departures []*messenger.Departure) {
+	n.targets.Restore(departures, time.Now())
+}
+
 func (n *node) expireLeases(ctx context.Context) {
 	ticker := time.NewTicker(leaseCheckInterval)
 	defer ticker.Stop()
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"strings"
 	"sync"
@@ -61,37 +62,65 @@
 type record struct {
 	started  int64
 	sequence uint64
+	// draining is set once the target has reported that it is draining, or was
+	// drained by command.
+	draining bool
 	departed bool
 	updated  time.Time
 }
 
+// departure returns the notice that other processes keep of the target, or nil if
+// it has given none. Without its start, the notice would shut out later starts too.
+func (rec *record) departure(id string) *messenger.Departure {
+	if rec.started <= 0 || !rec.draining && !rec.departed {
+		return nil
+	}
+	return &messenger.Departure{
+		Id:       id,
+		Started:  rec.started,
+		Sequence: rec.sequence,
+		Left:     rec.departed,
+	}
+}
+
 // recordRetention is how long the record of a dropped target is kept. It is longer
 // than an announcement may be delayed on its way.
 const recordRetention = 5 * time.Minute
 
+// secureTimeout bounds the time for making a notice known to other processes. A
+// target waits a second for the acknowledgement of its notice.
+const secureTimeout = 800 * time.Millisecond
+
 // A Registry holds the announced targets whose leases have not expired.
 type Registry struct {
 	node     string
 	lease    time.Duration
 	log      zerolog.Logger
-	onChange func(targets []*messenger.Target)
+	onChange func(targets []*messenger.Target, departures []*messenger.Departure)
+	secure   func(ctx context.Context) error
 
 	lock          sync.Mutex
 	targets       map[string]*localTarget
 	records       map[string]*record
 	configuration fireflymoor.Configuration
 	leaving       bool
+	// notices counts the notices of draining and leaving targets. The first
+	// securedNotices of them are known to other processes.
+	notices        uint64
+	securedNotices uint64
 }
 
 // NewRegistry returns a new Registry for the targets of a node. It drops a target
 // whose last announcement is older than lease. It calls onChange with all targets
-// after every change that other processes must know of.
-func NewRegistry(node string, lease time.Duration, log zerolog.Logger, onChange func([]*messenger.Target)) *Registry {
+// and departures after every change that other processes must know of. The function
+// secure waits until enough of them know the last change.
+func NewRegistry(node string, lease time.Duration, log zerolog.Logger, onChange func([]*messenger.Target, []*messenger.Departure), secure func(ctx context.Context) error) *Registry {
 	return &Registry{
 		node:     node,
 		lease:    lease,
 		log:      log,
 		onChange: onChange,
+		secure:   secure,
 		targets:  map[string]*localTarget{},
 		records:  map[string]*record{},
 	}
@@ -107,11 +136,15 @@
 			Str("reason", reason).Msg("target: announcement ignored")
 		return
 	}
-	r.records[a.ID] = &record{
-		started:  a.Started,
-		sequence: a.Sequence,
-		updated:  now,
+	rec := r.records[a.ID]
+	if rec == nil || rec.started != a.Started || a.Started == 0 {
+		rec = &record{
+			started: a.Started,
+		}
+		r.records[a.ID] = rec
 	}
+	rec.sequence = a.Sequence
+	rec.updated = now
 	known := r.targets[a.ID]
 	if known == nil || !known.announcement.sameTarget(a) {
 		r.dropAtAddress(a)
@@ -119,8 +152,8 @@
 	}
 	known.announcement = a
 	known.renewedAt = now
-	if a.Draining {
-		r.drain(a.ID)
+	if a.Draining || rec.draining {
+		r.drainForGood(a.ID)
 	}
 }
 
@@ -195,10 +228,11 @@
 	if r.targets[id] == nil {
 		return ErrUnknown
 	}
-	r.drop(id, "withdrawn")
 	if rec := r.records[id]; rec != nil {
 		rec.departed = true
+		r.countNotice(rec)
 	}
+	r.drop(id, "withdrawn")
 	return nil
 }
 
@@ -224,9 +258,77 @@
 	rec.started = max(rec.started, started)
 	rec.departed = true
 	rec.updated = now
+	r.countNotice(rec)
 	if r.targets[id] != nil {
 		r.drop(id, "left")
+		return
+	}
+	r.notify()
+}
+
+// Secure waits until the notices of draining and leaving targets received so far
+// are known to enough other processes that a restart of this one does not lose
+// them. Only then they may be acknowledged.
+func (r *Registry) Secure(ctx context.Context) error {
+	r.lock.Lock()
+	notices := r.notices
+	secured := notices == r.securedNotices
+	r.lock.Unlock()
+	if secured {
+		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, secureTimeout)
+	defer cancel()
+	if err := r.secure(ctx); err != nil {
+		return errors.Wrap(err, "target: secure a notice")
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.securedNotices = max(r.securedNotices, notices)
+	return nil
+}
+
+// Restore applies the notices that an earlier run of this node announced.
+func (r *Registry) Restore(departures []*messenger.Departure, now time.Time) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	changed := false
+	for _, d := range departures {
+		changed = r.restore(d, now) || changed
+	}
+	if changed {
+		r.notify()
+	}
+}
+
+// restore applies one notice and reports whether it is news.
+func (r *Registry) restore(d *messenger.Departure, now time.Time) bool {
+	rec := r.records[d.GetId()]
+	if rec == nil || rec.started < d.GetStarted() {
+		rec = &record{
+			started: d.GetStarted(),
+		}
+		r.records[d.GetId()] = rec
+	}
+	known := rec.draining && rec.sequence >= d.GetSequence() && (rec.departed || !d.GetLeft())
+	if rec.started != d.GetStarted() || known {
+		return false
+	}
+	rec.sequence = max(rec.sequence, d.GetSequence())
+	rec.departed = rec.departed || d.GetLeft()
+	rec.draining = true
+	rec.updated = now
+	r.log.Info().Str("target", d.GetId()).Int64("started", d.GetStarted()).Uint64("sequence", d.GetSequence()).
+		Bool("left", d.GetLeft()).Msg("target: notice to an earlier run of the node learned")
+	t := r.targets[d.GetId()]
+	switch {
+	case t == nil:
+	case rec.departed || t.announcement.Started < d.GetStarted():
+		r.drop(d.GetId(), "left before this process started")
+	default:
+		r.drain(d.GetId())
+	}
+	return true
 }
 
 func (r *Registry) drop(id, reason string) {
@@ -245,7 +347,24 @@
 	if r.targets[id] == nil {
 		return nil, ErrUnknown
 	}
-	return r.drain(id), nil
+	return r.drainForGood(id), nil
+}
+
+// drainForGood drains a target, also after a restart of this process.
+func (r *Registry) drainForGood(id string) <-chan struct{} {
+	if rec := r.records[id]; rec != nil && !rec.draining {
+		rec.draining = true
+		r.countNotice(rec)
+		r.notify()
+	}
+	return r.drain(id)
+}
+
+// countNotice counts a notice that is to be secured.
+func (r *Registry) countNotice(rec *record) {
+	if rec.started > 0 {
+		r.notices++
+	}
 }
 
 func (r *Registry) drain(id string) <-chan struct{} {
@@ -258,14 +377,14 @@
 	return t.limiter.Drain()
 }
 
-// DrainAll stops new calls to all targets because the node is leaving.
+// DrainAll stops new calls to all targets because the node is leaving. A later run
+// of the node serves them again.
 func (r *Registry) DrainAll() {
 	r.lock.Lock()
+	defer r.lock.Unlock()
 	r.leaving = true
-	ids := r.ids()
-	r.lock.Unlock()
-	for _, id := range ids {
-		_, _ = r.Drain(id)
+	for _, id := range r.ids() {
+		r.drain(id)
 	}
 }
 
@@ -295,7 +414,7 @@
 	return ids
 }
 
-// notify passes all targets with their states to onChange.
+// notify passes all targets with their states, and all departures, to onChange.
 func (r *Registry) notify() {
 	targets := make([]*messenger.Target, 0, len(r.targets))
 	for id, t := range r.targets {
@@ -313,7 +432,21 @@
 	slices.SortFunc(targets, func(a, b *messenger.Target) int {
 		return cmp.Compare(a.GetId(), b.GetId())
 	})
-	r.onChange(targets)
+	r.onChange(targets, r.departures())
+}
+
+// departures returns the notices that other processes keep, sorted by id.
+func (r *Registry) departures() []*messenger.Departure {
+	var departures []*messenger.Departure
+	for id, rec := range r.records {
+		if d := rec.departure(id); d != nil {
+			departures = append(departures, d)
+		}
+	}
+	slices.SortFunc(departures, func(a, b *messenger.Departure) int {
+		return cmp.Compare(a.GetId(), b.GetId())
+	})
+	return departures
 }
 
 // find returns the target with an id as other processes know it, which begins with
--- a/internal/target/registry_test.go
+++ b/internal/target/registry_test.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -14,9 +15,9 @@
 
 func newTestRegistry() (*Registry, *[]*messenger.Target) {
 	var notified []*messenger.Target
-	r := NewRegistry("node", time.Second, zerolog.Nop(), func(targets []*messenger.Target) {
+	r := NewRegistry("node", time.Second, zerolog.Nop(), func(targets []*messenger.Target, _ []*messenger.Departure) {
 		notified = targets
-	})
+	}, func(context.Context) error { return nil })
 	return r, &notified
 }
 
