Send a target the whole request also after it has answered

Cause: two readers of one body. The goroutine that sends a long body goes on while the response is written, and the server of net/http discards up to 256 KiB of an unread body before it writes the head. Besides, the end of the response closed the connection to the target, and the end of the handler the body.

Evidence: runner.TestEarlyAnswer, 24 kinds of uploads, failed before: 262,144 or 270,336 of 524,288 bytes without an error, bodies cut off, responses only after the upload or never (i/o timeout).

Ruled out: the replay buffer of the caller's node. Its readers fail once a later try has begun, and the fault shows with one try and with one node.

Fix: EnableFullDuplex where the request is still being sent when its response is passed on; the response is flushed at its end, and the handler waits for the sending, at most for the time of the call. The closing of a buffered response is put off likewise.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -170,6 +170,12 @@
 	return nil
 }
 
+// bufferedBody is a body that was read from the closer's source.
+type bufferedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // bufferResponse reads a short response to its end and returns it for the
 // registrar, which keeps it for queries.
 func bufferResponse(response *http.Response) (*registrar.Response, error) {
@@ -177,8 +183,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "receiver: read the answer")
 	}
-	_ = response.Body.Close()
-	response.Body = io.NopCloser(bytes.NewReader(body))
+	response.Body = &bufferedBody{
+		Reader: bytes.NewReader(body),
+		Closer: response.Body,
+	}
 	return &registrar.Response{
 		Status: response.StatusCode,
 		Header: response.Header.Clone(),
--- a/internal/receiver/response.go
+++ b/internal/receiver/response.go
@@ -8,6 +8,7 @@
 
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
+	"github.com/fireflymoor/fireflymoor/internal/sender"
 )
 
 // bufferSize is the size of the buffers for copying response bodies, in bytes.
@@ -48,7 +49,17 @@
 // Copy writes a target's response to w. If the body cannot be copied in full,
 // it panics with http.ErrAbortHandler, so that the connection is aborted and
 // the client does not take the truncated response for complete.
+//
+// If the target responded before it had the whole request, Copy sends it the rest
+// before it returns, as the server discards the rest afterwards.
 func Copy(w http.ResponseWriter, response *http.Response) {
+	controller := http.NewResponseController(w)
+	early := sender.IsSending(response)
+	if early {
+		// Otherwise the server discards a part of the request's body before it
+		// writes the response, while another part is being sent to the target.
+		_ = controller.EnableFullDuplex()
+	}
 	copyHeader(w.Header(), response.Header)
 	if _, ok := response.Header["Content-Type"]; !ok {
 		w.Header()["Content-Type"] = nil // the server would guess one
@@ -60,6 +71,10 @@
 	if err := copyBody(w, response); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if early {
+		_ = controller.Flush()
+		sender.AwaitSent(response)
+	}
 }
 
 func copyBody(w http.ResponseWriter, response *http.Response) error {
--- a/internal/runner/call_test.go
+++ b/internal/runner/call_test.go
@@ -42,7 +42,7 @@
 	return f.view
 }
 
-// callPath holds the URLs of the benchmarked paths of a call: directly to the
+// callPath holds the URLs of the paths of a call: directly to the
 // target, through one node, through two nodes, and through a node whose call the
 // second node refuses. All servers run in this process.
 type callPath struct {
@@ -52,11 +52,8 @@
 	refused  string
 }
 
-func newCallPath(b *testing.B) callPath {
-	body := []byte("answer")
-	targetServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write(body)
-	}))
+func newCallPath(b testing.TB, serve http.HandlerFunc) callPath {
+	targetServer := httptest.NewServer(serve)
 	b.Cleanup(targetServer.Close)
 	log := zerolog.New(diode.NewWriter(io.Discard, maxQueuedLogLines, 0, func(int) {}))
 	dial := dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry()))
@@ -113,7 +110,7 @@
 			Service:    "service",
 			Timeout:    10 * time.Second,
 			Retries:    2,
-			Idempotent: []string{http.MethodGet},
+			Idempotent: []string{http.MethodGet, http.MethodPut},
 			MaxBody:    1 << 20,
 		}},
 		fireflymoor.Limits{
@@ -132,7 +129,7 @@
 	}})
 }
 
-func serveHandler(b *testing.B, handler http.Handler) string {
+func serveHandler(b testing.TB, handler http.Handler) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -147,7 +144,10 @@
 // through two nodes, and calls that the second node refuses. All run in one
 // process, sequentially and in parallel.
 func BenchmarkCall(b *testing.B) {
-	path := newCallPath(b)
+	body := []byte("answer")
+	path := newCallPath(b, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(body)
+	})
 	client := &http.Client{
 		Transport: &http.Transport{
 			MaxIdleConnsPerHost: 256,
--- /dev/null
+++ b/internal/runner/early_answer_test.go
@@ -0,0 +1,164 @@
+package runner
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// uploadBytes is the length of an upload, and pieceBytes that of the pieces in
+	// which it is sent.
+	uploadBytes = 512 << 10
+	pieceBytes  = 8 << 10
+	// uploadTimeout is the time for one upload, below the route's timeout.
+	uploadTimeout = 5 * time.Second
+)
+
+// newUpload returns the content of an upload, in which all blocks differ.
+func newUpload() []byte {
+	content := &bytes.Buffer{}
+	for content.Len() < uploadBytes {
+		_, _ = fmt.Fprintf(content, "%015d\n", content.Len())
+	}
+	return content.Bytes()
+}
+
+// upload is a request whose body is sent in pieces.
+type upload struct {
+	method  string
+	chunked bool
+	// answer is the number of bytes of the target's response.
+	answer int
+}
+
+func (u upload) name() string {
+	framing := "length"
+	if u.chunked {
+		framing = "chunks"
+	}
+	return fmt.Sprintf("%s/%s/%d", u.method, framing, u.answer)
+}
+
+// send sends the head of the upload and then its content, and returns a connection
+// with the response to read. The returned channel gets the error of the sending.
+func (u upload) send(is *is.I, address string, content []byte) (net.Conn, <-chan error) {
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	is.NoErr(conn.SetDeadline(time.Now().Add(uploadTimeout)))
+	framing := fmt.Sprintf("Content-Length: %d", len(content))
+	if u.chunked {
+		framing = "Transfer-Encoding: chunked"
+	}
+	_, err = fmt.Fprintf(conn, "%s /x?answer=%d HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n", u.method, u.answer, framing)
+	is.NoErr(err)
+	sent := make(chan error, 1)
+	go func() { sent <- u.sendContent(conn, content) }()
+	return conn, sent
+}
+
+func (u upload) sendContent(to io.Writer, content []byte) error {
+	for len(content) > 0 {
+		piece := content[:min(pieceBytes, len(content))]
+		content = content[len(piece):]
+		if u.chunked {
+			piece = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
+		}
+		if _, err := to.Write(piece); err != nil {
+			return err
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if !u.chunked {
+		return nil
+	}
+	_, err := io.WriteString(to, "0\r\n\r\n")
+	return err
+}
+
+// TestEarlyAnswer guards against uploads that reach a target with pieces missing:
+// after the target had answered early, the server discarded what the target had yet
+// to read. The caller must get the response before it has sent all, and the target
+// must get the whole body.
+func TestEarlyAnswer(t *testing.T) {
+	received := make(chan error, 1)
+	content := newUpload()
+	path := newCallPath(t, func(w http.ResponseWriter, request *http.Request) {
+		if request.ContentLength == 0 {
+			return
+		}
+		answer, _ := strconv.Atoi(request.URL.Query().Get("answer"))
+		controller := http.NewResponseController(w)
+		_ = controller.EnableFullDuplex()
+		w.Header().Set("Content-Length", strconv.Itoa(answer))
+		_, _ = io.WriteString(w, strings.Repeat("x", answer))
+		_ = controller.Flush()
+		body, err := io.ReadAll(request.Body)
+		if err == nil && !bytes.Equal(body, content) {
+			err = fmt.Errorf("%d of %d bytes, or others", len(body), len(content))
+		}
+		received <- err
+	})
+	for name, target := range map[string]string{"one-node": path.oneNode, "two-nodes": path.twoNodes} {
+		address, err := url.Parse(target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, method := range []string{http.MethodPost, http.MethodPut} {
+			for _, answer := range []int{0, 6_000, 70_000} {
+				for _, chunked := range []bool{true, false} {
+					u := upload{
+						method:  method,
+						chunked: chunked,
+						answer:  answer,
+					}
+					t.Run(name+"/"+u.name(), func(t *testing.T) {
+						u.check(is.New(t), address.Host, content, received)
+					})
+				}
+			}
+		}
+	}
+}
+
+// check sends the upload and checks both ends, and that the connection can carry
+// another request.
+func (u upload) check(is *is.I, address string, content []byte, received <-chan error) {
+	conn, sent := u.send(is, address, content)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(len(body), u.answer)
+	select {
+	case err := <-sent:
+		is.NoErr(err)
+		is.Fail() // the response came only after the upload
+	default:
+	}
+	is.NoErr(<-sent)
+	select {
+	case err := <-received:
+		is.NoErr(err) // the target reads the whole body
+	case <-time.After(uploadTimeout):
+		is.Fail() // the target has read the body
+	}
+	_, err = io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	response, err = http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+}
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -40,6 +40,8 @@
 	// written is the result of writing the request, or nil while it is being
 	// written.
 	written atomic.Pointer[writeResult]
+	// sent is closed once the current request has been written.
+	sent chan struct{}
 }
 
 // writeResult is the result of writing a request.
@@ -116,7 +118,10 @@
 // goroutine. A write error aborts the connection, and read returns it.
 func (c *conn) send(request *http.Request) {
 	c.written.Store(nil)
+	sent := make(chan struct{})
+	c.sent = sent
 	write := func() {
+		defer close(sent)
 		err := request.Write(c.writer)
 		if err == nil {
 			err = c.writer.Flush()
@@ -128,13 +133,19 @@
 			c.abort()
 		}
 	}
-	if request.ContentLength >= 0 && request.ContentLength <= maxInlineBody {
+	if !mayBeLong(request) {
 		write()
 		return
 	}
 	go write()
 }
 
+// mayBeLong reports whether the body of a request may be too long to be written
+// before the response is read.
+func mayBeLong(request *http.Request) bool {
+	return request.ContentLength < 0 || request.ContentLength > maxInlineBody
+}
+
 // read reads the next final response and skips informational ones.
 func (c *conn) read(request *http.Request) (*http.Response, error) {
 	c.source.limited = true
--- a/internal/sender/transport.go
+++ b/internal/sender/transport.go
@@ -106,6 +106,9 @@
 		}
 		return nil, err
 	}
+	if mayBeLong(request) {
+		response.Request = request.WithContext(context.WithValue(ctx, sentKey{}, c.sent))
+	}
 	response.Body = &body{
 		ReadCloser: response.Body,
 		remaining:  response.ContentLength,
@@ -120,6 +123,42 @@
 	return response, nil
 }
 
+// sentKey is the key of the context value that AwaitSent waits for.
+type sentKey struct{}
+
+// AwaitSent waits until the request of a response has been sent, in full or as far
+// as possible, or its context is done. A peer that responds before it has read a
+// long request may read the rest afterwards. Closing the response earlier ends the
+// sending.
+func AwaitSent(response *http.Response) {
+	if sent := sending(response); sent != nil {
+		select {
+		case <-sent:
+		case <-response.Request.Context().Done():
+		}
+	}
+}
+
+// IsSending reports whether the request of a response is still being sent.
+func IsSending(response *http.Response) bool {
+	select {
+	case <-sending(response):
+		return false
+	default:
+		return sending(response) != nil
+	}
+}
+
+// sending returns the channel that is closed once the request of a response has
+// been sent, or nil if it was sent before the response was read.
+func sending(response *http.Response) chan struct{} {
+	if response.Request == nil {
+		return nil
+	}
+	sent, _ := response.Request.Context().Value(sentKey{}).(chan struct{})
+	return sent
+}
+
 // packed returns the request to write, with packed headers if there is a packer.
 func (t *Transport) packed(request *http.Request) *http.Request {
 	if t.packer == nil {
