internal/replicator: number rounds and reads differently in each process

Cause: the leader's reply to the read of the killed process waited in the queue of its transport and reached the new process. Each process numbered its reads from 1, so that the reply confirmed another read, at an index of the time before.

On related paths: rounds of append messages had the same numbers in each process, so that a late reply confirmed a round of the leader's new process, and with it a read. A reply to a request for pre-votes did not say which request it answers. Votes are safe by their term.

Ruled out: the index that the leader returns. It is right for the read that it answers. Dropping queued messages when a connection breaks was considered: bytes in flight would still arrive, and a peer that is only slow would lose heartbeats.

Fix: the numbers begin at a random one below 2^48, and requests for votes have a round that their replies repeat. The form of messages is unchanged; a reply without a round, from an older build, counts as before.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -96,7 +96,6 @@
 	changeWaiters map[string][]chan *messenger.ChangeRecord
 	// pendingReads are the reads in progress, by token.
 	pendingReads map[uint64]*pendingRead
-	lastToken    uint64
 	role         replicator.Role
 	disk         diskState
 }
@@ -388,10 +387,9 @@
 		}
 		token := uint64(0)
 		err := c.options.Sequencer.Do(ctx, func() {
-			c.lastToken++
-			token = c.lastToken
+			var effects replicator.Effects
+			token, effects, _ = c.replicator.Confirm(time.Now())
 			c.pendingReads[token] = r
-			effects, _ := c.replicator.Confirm(token, time.Now())
 			c.handle(effects)
 		})
 		if err != nil {
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -47,6 +47,7 @@
 }
 
 func (r *Replicator) requestVotes(kind messenger.ReplicaMessageKind, term uint64) {
+	r.round++
 	for _, m := range r.members() {
 		if m.GetName() == r.config.Name {
 			continue
@@ -57,6 +58,7 @@
 			Term:    term,
 			Index:   r.lastIndex(),
 			LogTerm: r.termAt(r.lastIndex()),
+			Round:   r.round,
 			Data:    []byte(m.GetDisk()),
 		})
 	}
@@ -75,6 +77,7 @@
 		Kind:    messenger.ReplicaMessageKind_PRE_VOTE_REPLY,
 		To:      m.GetFrom(),
 		Term:    m.GetTerm(),
+		Round:   m.GetRound(),
 		Refused: !granted,
 	}
 	if !granted {
@@ -90,13 +93,19 @@
 		}
 		return
 	}
-	if r.role != PreCandidate || m.GetTerm() != r.durable.Term+1 {
+	if r.role != PreCandidate || m.GetTerm() != r.durable.Term+1 || !r.answersRound(m) {
 		return
 	}
 	r.addVote(m)
 	r.countPreVotes(now)
 }
 
+// answersRound reports whether a vote is a reply to the last request for votes of
+// this process. Builds that do not repeat the round send none.
+func (r *Replicator) answersRound(m *messenger.ReplicaMessage) bool {
+	return m.GetRound() == 0 || m.GetRound() == r.round
+}
+
 func (r *Replicator) addVote(m *messenger.ReplicaMessage) {
 	if r.countsInQuorum(m.GetFrom(), m.GetDisk()) {
 		r.votes[m.GetFrom()] = true
@@ -127,12 +136,13 @@
 	r.send(&messenger.ReplicaMessage{
 		Kind:    messenger.ReplicaMessageKind_VOTE_REPLY,
 		To:      m.GetFrom(),
+		Round:   m.GetRound(),
 		Refused: !granted,
 	})
 }
 
 func (r *Replicator) onVoteReply(m *messenger.ReplicaMessage, now time.Time) {
-	if r.role != Candidate || m.GetTerm() != r.durable.Term || m.GetRefused() {
+	if r.role != Candidate || m.GetTerm() != r.durable.Term || m.GetRefused() || !r.answersRound(m) {
 		return
 	}
 	r.addVote(m)
--- a/internal/replicator/load_test.go
+++ b/internal/replicator/load_test.go
@@ -32,9 +32,9 @@
 	},
 	{
 		name: "reads",
-		request: func(c *cluster, n int) {
+		request: func(c *cluster, _ int) {
 			if leader := c.leader(); leader != nil {
-				effects, _ := leader.Confirm(uint64(n)+1, c.now)
+				_, effects, _ := leader.Confirm(c.now)
 				c.handle(leader, effects)
 			}
 		},
--- a/internal/replicator/replace_test.go
+++ b/internal/replicator/replace_test.go
@@ -127,8 +127,8 @@
 		c.commit(fmt.Sprint("value", i))
 	}
 	sent := 0
-	for token := range uint64(100) {
-		effects, err := leader.Confirm(token+1, c.now)
+	for range 100 {
+		_, effects, err := leader.Confirm(c.now)
 		is.NoErr(err)
 		for _, m := range effects.Messages {
 			if m.GetTo() == slow.name {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -28,6 +28,11 @@
 // timeout.
 const initialElectionDivisor = 2
 
+// maxInitialNumber bounds the random numbers at which a process begins to count its
+// rounds and reads. A reply to an earlier process, which its sender may have kept for
+// long, then matches nothing that the process waits for.
+const maxInitialNumber = 1 << 48
+
 // progress is the leader's view of one peer.
 type progress struct {
 	// disk is the peer's disk id. It is empty until the first reply.
@@ -76,12 +81,14 @@
 	applied   uint64
 	votes     map[string]bool
 	progress  map[string]*progress
-	// round counts the leader's broadcasts to all peers. Replies repeat it.
+	// round counts the broadcasts to all peers, of a leader and of a candidate.
+	// Replies repeat it.
 	round uint64
 	// pendingReads are the reads of the current round.
 	pendingReads []pendingRead
 	// queuedReads are the reads that wait for the next round.
 	queuedReads []pendingRead
+	lastToken   uint64
 
 	// leaderContact is the time of the last message from a leader.
 	leaderContact    time.Time
@@ -101,10 +108,12 @@
 // New returns a new Replicator that continues from the durable state.
 func New(config Config, durable DurableState, random *rand.Rand, now time.Time) *Replicator {
 	r := &Replicator{
-		config:  config,
-		random:  random,
-		durable: durable,
-		peers:   map[string]Peer{},
+		config:    config,
+		random:    random,
+		durable:   durable,
+		peers:     map[string]Peer{},
+		round:     random.Uint64N(maxInitialNumber),
+		lastToken: random.Uint64N(maxInitialNumber),
 	}
 	for _, name := range config.Peers {
 		r.peers[name] = Peer{
@@ -224,24 +233,27 @@
 	return r.takeEffects(), nil
 }
 
-// Confirm starts a linearizable read. Once a quorum has confirmed the leader
-// after this call, a Read with the token and the index to wait for is returned
-// in the Effects of this or a later step. The request may be dropped, so the
-// caller must retry. Confirm returns ErrNoLeader if no leader is known.
-func (r *Replicator) Confirm(token uint64, now time.Time) (Effects, error) {
+// Confirm starts a linearizable read and returns its token. Once a quorum has
+// confirmed the leader after this call, a Read with the token and the index to wait
+// for is returned in the Effects of this or a later step. The request may be
+// dropped, so the caller must retry. Confirm returns ErrNoLeader if no leader is
+// known.
+func (r *Replicator) Confirm(now time.Time) (uint64, Effects, error) {
+	r.lastToken++
+	token := r.lastToken
 	if r.role == Leader {
 		r.queueRead(token, r.config.Name, now)
-		return r.takeEffects(), nil
+		return token, r.takeEffects(), nil
 	}
 	if r.leader == "" {
-		return Effects{}, ErrNoLeader
+		return token, Effects{}, ErrNoLeader
 	}
 	r.send(&messenger.ReplicaMessage{
 		Kind:  messenger.ReplicaMessageKind_READ,
 		To:    r.leader,
 		Token: token,
 	})
-	return r.takeEffects(), nil
+	return token, r.takeEffects(), nil
 }
 
 // Compact replaces the log up to and including index by a snapshot with state.
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -166,7 +166,7 @@
 	c.commit("before")
 	old := c.leader()
 	c.isolate(old.name, true)
-	effects, err := old.Confirm(77, c.now)
+	token, effects, err := old.Confirm(c.now)
 	is.NoErr(err)
 	c.handle(old, effects)
 	c.waitUntil("another leader", func() bool {
@@ -174,7 +174,7 @@
 		return leader != nil && leader != old && leader.role == Leader && c.propose("after")
 	})
 	c.run(200)
-	_, confirmed := c.reads[77]
+	_, confirmed := c.reads[token]
 	is.True(!confirmed)         // the isolated leader confirmed no read
 	is.True(old.role != Leader) // it has stepped down
 	c.heal()
--- a/internal/replicator/suspension_test.go
+++ b/internal/replicator/suspension_test.go
@@ -74,11 +74,11 @@
 	c.commit("second")
 	c.run(20)
 	is.True(m.Suspended())
-	effects, err := m.Confirm(5, c.now)
+	token, effects, err := m.Confirm(c.now)
 	is.NoErr(err)
 	c.handle(m, effects)
-	c.waitUntil("the read", func() bool { return c.reads[5] > 0 })
-	is.True(c.reads[5] > m.applied)
+	c.waitUntil("the read", func() bool { return c.reads[token] > 0 })
+	is.True(c.reads[token] > m.applied)
 }
 
 // TestFullDisks fills and frees disks at random while replicas are killed and
