internal/caller: give tries other ids after a restart of the node

What callers would see: a call that gets the kept response of an earlier call.

Cause: the id of a try is the caller's id, the node and a number that began at 1 in each process. Where the dialect lets callers give ids, one that uses an id again within 15 s of a call, with a restart of its node in between, may get the same id for both tries. The target's node then takes the second for one that has arrived before, and a query for it returns the state and the kept response of the first.

Evidence: TestTryIDsAfterRestart fails on the code before ("not true: f.ids[0] != f.ids[1]"). A first form of the test did not fail: the native dialect reads no id.

Fix: the numbers begin at a random one below 2^30 and are written in base 36, in at most six characters.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -39,6 +39,10 @@
 	// nestedRank is the rank of calls that targets make while they run another
 	// call: the parent call holds a slot while the nested call waits.
 	nestedRank = -1
+	// maxInitialTry bounds the number of the first try of a process, and tryIDBase is
+	// the base in which the numbers are written, so that ids stay short.
+	maxInitialTry = 1 << 30
+	tryIDBase     = 36
 )
 
 // Options holds the dependencies and settings of a Handler.
@@ -83,15 +87,18 @@
 // A Handler is the HTTP handler for calls from callers.
 type Handler struct {
 	options Options
-	// trySequence numbers the tries in the ids that targets' nodes see.
+	// trySequence numbers the tries in the ids that targets' nodes see. It begins at
+	// a random number, as the nodes remember the tries of an earlier process.
 	trySequence atomic.Uint64
 }
 
 // New returns a new Handler.
 func New(options Options) *Handler {
-	return &Handler{
+	h := &Handler{
 		options: options,
 	}
+	h.trySequence.Store(rand.Uint64N(maxInitialTry))
+	return h
 }
 
 // call is the state of a call in progress.
@@ -242,7 +249,7 @@
 			Int("try", len(c.tried)).Str("reason", pick.Reason).Msg("caller: route")
 	}
 	c.tried = append(c.tried, pick.Target.ID)
-	c.request.Header.Set(annotator.CallID, fmt.Sprintf("%s.%s.%d", c.id, h.options.Node, h.trySequence.Add(1)))
+	c.request.Header.Set(annotator.CallID, h.tryID(c.id))
 	end := h.options.Tracker.Begin(pick.Target, now)
 	c.request.Header.Set(annotator.TargetID, pick.Target.ID)
 	c.request.Body, c.request.ContentLength = c.body.reader()
@@ -270,6 +277,11 @@
 	return response, outcome, nil
 }
 
+// tryID returns an id for a try of a call.
+func (h *Handler) tryID(id string) string {
+	return id + "." + h.options.Node + "." + strconv.FormatUint(h.trySequence.Add(1), tryIDBase)
+}
+
 // isSaturated reports whether a try was refused because no slot was free or the
 // target was draining. A target that sheds part of its calls refuses the others no
 // more likely for it.
