--- a/internal/coordinator/secure.go
+++ b/internal/coordinator/secure.go
@@ -46,7 +46,11 @@
 	for range min(secureAttempts, len(members)) {
 		go func() {
 			for address := range addresses {
-				stored <- c.announceTo(ctx, address) == nil
+				err := c.announceTo(ctx, address)
+				stored <- err == nil
+				if err == nil {
+					return
+				}
 			}
 		}()
 	}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -170,7 +170,7 @@
 	return nil
 }
 
-// bufferedBody is a body that was read from the closer's source.
+// bufferedBody is a body in memory whose Close closes the source of it.
 type bufferedBody struct {
 	io.Reader
 	io.Closer
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -266,9 +266,10 @@
 	})
 }
 
-// DeparturesLearned implements coordinator.Watcher.
+// DeparturesLearned implements coordinator.Watcher. The registry posts tasks, which
+// a task of the sequencer must not wait for.
 func (n *node) DeparturesLearned(departures []*messenger.Departure) {
-	n.targets.Restore(departures, time.Now())
+	go n.targets.Restore(departures, time.Now())
 }
 
 func (n *node) expireLeases(ctx context.Context) {
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -40,7 +40,7 @@
 	// written is the result of writing the request, or nil while it is being
 	// written.
 	written atomic.Pointer[writeResult]
-	// sent is closed once the current request has been written.
+	// sent is closed once a request whose body may be long has been written.
 	sent chan struct{}
 }
 
@@ -118,10 +118,7 @@
 // goroutine. A write error aborts the connection, and read returns it.
 func (c *conn) send(request *http.Request) {
 	c.written.Store(nil)
-	sent := make(chan struct{})
-	c.sent = sent
 	write := func() {
-		defer close(sent)
 		err := request.Write(c.writer)
 		if err == nil {
 			err = c.writer.Flush()
@@ -137,7 +134,12 @@
 		write()
 		return
 	}
-	go write()
+	sent := make(chan struct{})
+	c.sent = sent
+	go func() {
+		defer close(sent)
+		write()
+	}()
 }
 
 // mayBeLong reports whether the body of a request may be too long to be written
