internal/coordinator: secure notices also in a zone that is cut off

What targets would see: no acknowledgement of a notice for some seconds after the zone of their node was cut off. Found by reading: control replicas and members of other zones were asked first, 300 ms each, and are suspected only later; 800 ms could pass before a member of the own zone was asked.

Fix: members of other zones and of the own zone take turns. TestKeepers checks the order, and fails on the order before (the third is of another zone).

--- a/internal/coordinator/secure.go
+++ b/internal/coordinator/secure.go
@@ -90,31 +90,31 @@
 
 // keepers returns the members that have not left, in the order in which they are
 // asked to store the fact of this process. Control replicas come first, as a process
-// that starts again asks them first, and then members of other zones, which are
-// unlikely to fail together with this one. Suspected members come last.
+// that starts again asks them first. Members of other zones, which are unlikely to
+// fail together with this one, take turns with those of its own zone, which it
+// reaches also while the zone is cut off. Suspected members come last.
 func (c *Coordinator) keepers() []*messenger.Fact {
-	const ranks = 4
-	ranked := make([][]*messenger.Fact, ranks)
+	var replicas, near, far, suspected []*messenger.Fact
 	self := c.announcer.Self()
 	all := c.announcer.Facts()
 	for _, i := range c.options.Random.Perm(len(all)) {
 		f := all[i]
-		rank := 2
 		switch {
 		case f.GetName() == self.GetName() || f.GetState() == messenger.MemberState_MEMBER_LEFT:
-			continue
 		case f.GetState() == messenger.MemberState_MEMBER_SUSPECT:
-			rank = 3
+			suspected = append(suspected, f)
 		case f.GetControl():
-			rank = 0
-		case f.GetZone() != self.GetZone():
-			rank = 1
+			replicas = append(replicas, f)
+		case f.GetZone() == self.GetZone():
+			near = append(near, f)
+		default:
+			far = append(far, f)
 		}
-		ranked[rank] = append(ranked[rank], f)
 	}
-	var members []*messenger.Fact
-	for _, facts := range ranked {
-		members = append(members, facts...)
+	members := replicas
+	for i := range max(len(near), len(far)) {
+		members = append(members, far[min(i, len(far)):min(i+1, len(far))]...)
+		members = append(members, near[min(i, len(near)):min(i+1, len(near))]...)
 	}
-	return members
+	return append(members, suspected...)
 }
--- a/internal/coordinator/secure_test.go
+++ b/internal/coordinator/secure_test.go
@@ -81,3 +81,36 @@
 	alone, _ := startMember(ctx, is, &group, "alone", "zone-0", "")
 	is.NoErr(alone.coordinator.Secure(ctx))
 }
+
+// TestKeepers checks that a process in a zone that is cut off reaches a member of
+// its own zone among the first that it asks.
+func TestKeepers(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	m, _ := startMember(ctx, is, &group, "self", "zone-0", "")
+	facts := []*messenger.Fact{{Name: "left", Boot: 1}, {Name: "suspected", Boot: 1}, {Name: "replica", Boot: 1, Control: true}}
+	for i := range 9 {
+		facts = append(facts, &messenger.Fact{
+			Name: fmt.Sprint("node-", i),
+			Boot: 1,
+			Zone: fmt.Sprint("zone-", i%3),
+		})
+	}
+	var keepers []*messenger.Fact
+	is.NoErr(m.sequencer.Do(ctx, func() {
+		m.coordinator.merge(facts, "")
+		m.coordinator.merge([]*messenger.Fact{
+			{Name: "left", Boot: 1, Sequence: 1, State: messenger.MemberState_MEMBER_LEFT},
+			{Name: "suspected", Boot: 1, State: messenger.MemberState_MEMBER_SUSPECT},
+		}, "")
+		keepers = m.coordinator.keepers()
+	}))
+	is.Equal(len(keepers), 11)
+	is.Equal(keepers[0].GetName(), "replica")
+	is.True(keepers[1].GetZone() != "zone-0")
+	is.Equal(keepers[2].GetZone(), "zone-0")
+	is.Equal(keepers[10].GetName(), "suspected")
+}
