internal/runner: make TestEarlyAnswer independent of the machine's speed

The caller sent its upload while it read the response, and the test failed if the upload had ended before, which a busy machine could bring about. Now the second half of the upload is sent only after the response. The test is as strict: the response must come while the upload is incomplete, and the target must read all of it.

--- a/internal/runner/early_answer_test.go
+++ b/internal/runner/early_answer_test.go
@@ -18,9 +18,10 @@
 
 const (
 	// uploadBytes is the length of an upload, and pieceBytes that of the pieces in
-	// which it is sent.
-	uploadBytes = 512 << 10
-	pieceBytes  = 8 << 10
+	// which it is sent, with pieceInterval in between.
+	uploadBytes   = 512 << 10
+	pieceBytes    = 8 << 10
+	pieceInterval = time.Millisecond
 	// uploadTimeout is the time for one upload, below the route's timeout.
 	uploadTimeout = 5 * time.Second
 )
@@ -50,40 +51,40 @@
 	return fmt.Sprintf("%s/%s/%d", u.method, framing, u.answer)
 }
 
-// send sends the head of the upload and then its content, and returns a connection
-// with the response to read. The returned channel gets the error of the sending.
-func (u upload) send(is *is.I, address string, content []byte) (net.Conn, <-chan error) {
+// begin connects to an address and sends the head of the upload.
+func (u upload) begin(is *is.I, address string) net.Conn {
 	conn, err := net.Dial("tcp", address)
 	is.NoErr(err)
 	is.NoErr(conn.SetDeadline(time.Now().Add(uploadTimeout)))
-	framing := fmt.Sprintf("Content-Length: %d", len(content))
+	framing := fmt.Sprintf("Content-Length: %d", uploadBytes)
 	if u.chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
 	_, err = fmt.Fprintf(conn, "%s /x?answer=%d HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n", u.method, u.answer, framing)
 	is.NoErr(err)
-	sent := make(chan error, 1)
-	go func() { sent <- u.sendContent(conn, content) }()
-	return conn, sent
+	return conn
 }
 
-func (u upload) sendContent(to io.Writer, content []byte) error {
+// send sends a part of the content.
+func (u upload) send(is *is.I, to io.Writer, content []byte) {
 	for len(content) > 0 {
 		piece := content[:min(pieceBytes, len(content))]
 		content = content[len(piece):]
 		if u.chunked {
 			piece = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
 		}
-		if _, err := to.Write(piece); err != nil {
-			return err
-		}
-		time.Sleep(time.Millisecond)
+		_, err := to.Write(piece)
+		is.NoErr(err)
+		time.Sleep(pieceInterval)
 	}
-	if !u.chunked {
-		return nil
+}
+
+// end sends the end of the upload.
+func (u upload) end(is *is.I, to io.Writer) {
+	if u.chunked {
+		_, err := io.WriteString(to, "0\r\n\r\n")
+		is.NoErr(err)
 	}
-	_, err := io.WriteString(to, "0\r\n\r\n")
-	return err
 }
 
 // TestEarlyAnswer guards against uploads that reach a target with pieces missing:
@@ -131,11 +132,12 @@
 	}
 }
 
-// check sends the upload and checks both ends, and that the connection can carry
-// another request.
+// check sends the upload, of which the second half only after the response. It
+// checks both ends, and that the connection can carry another request.
 func (u upload) check(is *is.I, address string, content []byte, received <-chan error) {
-	conn, sent := u.send(is, address, content)
+	conn := u.begin(is, address)
 	defer func() { _ = conn.Close() }()
+	u.send(is, conn, content[:uploadBytes/2])
 	reader := bufio.NewReader(conn)
 	response, err := http.ReadResponse(reader, nil)
 	is.NoErr(err)
@@ -143,13 +145,8 @@
 	body, err := io.ReadAll(response.Body)
 	is.NoErr(err)
 	is.Equal(len(body), u.answer)
-	select {
-	case err := <-sent:
-		is.NoErr(err)
-		is.Fail() // the response came only after the upload
-	default:
-	}
-	is.NoErr(<-sent)
+	u.send(is, conn, content[uploadBytes/2:])
+	u.end(is, conn)
 	select {
 	case err := <-received:
 		is.NoErr(err) // the target reads the whole body
