--- a/internal/runner/early_answer_test.go
+++ b/internal/runner/early_answer_test.go
@@ -132,12 +132,18 @@
 	}
 }
 
-// check sends the upload, of which the second half only after the response. It
-// checks both ends, and that the connection can carry another request.
+// check sends the upload while it reads the response, and the last piece only after
+// the response. It checks both ends, and that the connection can carry another
+// request.
 func (u upload) check(is *is.I, address string, content []byte, received <-chan error) {
 	conn := u.begin(is, address)
 	defer func() { _ = conn.Close() }()
-	u.send(is, conn, content[:uploadBytes/2])
+	last := uploadBytes - pieceBytes
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		u.send(is, conn, content[:last])
+	}()
 	reader := bufio.NewReader(conn)
 	response, err := http.ReadResponse(reader, nil)
 	is.NoErr(err)
@@ -145,7 +151,8 @@
 	body, err := io.ReadAll(response.Body)
 	is.NoErr(err)
 	is.Equal(len(body), u.answer)
-	u.send(is, conn, content[uploadBytes/2:])
+	<-sent
+	u.send(is, conn, content[last:])
 	u.end(is, conn)
 	select {
 	case err := <-received:
