--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
 )
 
@@ -96,6 +97,12 @@
 	Heartbeat time.Duration
 	// ElectionTimeout is the minimum time without a leader before an election.
 	ElectionTimeout time.Duration
+	// Connections is the maximum number of connections that each listener accepts, or
+	// 0 to derive it from the process's limit on descriptors.
+	Connections int
+	// HeadMemory is the memory for the header sections of requests that are being
+	// read or are in progress, in bytes.
+	HeadMemory int64
 	// Level is the minimum level of logged messages.
 	Level zerolog.Level
 	// Decisions reports whether each routing decision is logged.
@@ -123,6 +130,8 @@
 	defaultElectionTimeout = 600 * time.Millisecond
 	maxPort                = 65535
 	maxLinesPerSecond      = 1_000_000
+	maxConnections         = 1_000_000
+	maxHeadMemory          = 1 << 40
 	minDuration            = 10 * time.Millisecond
 	maxDuration            = time.Minute
 	// minKeyWindow is longer than a claim may take.
@@ -153,6 +162,7 @@
 		Shutdown:        defaultShutdown,
 		Heartbeat:       defaultHeartbeat,
 		ElectionTimeout: defaultElectionTimeout,
+		HeadMemory:      acceptor.MinHeadMemory,
 		Level:           zerolog.InfoLevel,
 		Decisions:       true,
 		Tokens:          map[string]string{},
@@ -195,6 +205,9 @@
 		s.CallerService = section.String("service", "")
 		s.Keys = section.Bool("keys", true)
 		s.KeyWindow = section.Duration("key-window", defaultKeyWindow, minKeyWindow, maxKeyWindow)
+	case "clients":
+		s.Connections = section.Int("connections", 0, 1, maxConnections)
+		s.HeadMemory = int64(section.Int("head-memory", acceptor.MinHeadMemory, acceptor.MinHeadMemory, maxHeadMemory))
 	case "log":
 		s.readLog(section)
 	default:
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -180,8 +180,8 @@
 
 // start starts the parts specific to a control replica.
 func (c *control) start(workCtx context.Context, group *sync.WaitGroup) {
-	c.serve(group, c.operators, c.settings.Operators)
-	c.serve(group, c.platform, c.settings.Platform)
+	c.serve(group, c.operators, "operators", c.settings.Operators)
+	c.serve(group, c.platform, "platform", c.settings.Platform)
 	group.Go(func() { c.controller.Run(workCtx) })
 	group.Go(func() { c.transport.Run(workCtx) })
 	group.Go(func() { c.sequencer.Every(workCtx, peerRefreshInterval, c.refreshPeers) })
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog/diode"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/internal/asserter"
 	"github.com/fireflymoor/fireflymoor/internal/coordinator"
 	"github.com/fireflymoor/fireflymoor/internal/counter"
@@ -41,6 +42,9 @@
 	// maxQueuedLogLines is the capacity of the log buffer, in lines. Calls never
 	// wait for the log to be written.
 	maxQueuedLogLines = 8192
+	// clientLogBurst is the maximum number of log lines a second about clients that
+	// exceed a limit.
+	clientLogBurst = 5
 )
 
 // member holds the parts that nodes and control replicas share: overlay
@@ -58,6 +62,7 @@
 	random      *rand.Rand
 	boot        uint64
 	listeners   map[string]net.Listener
+	acceptor    *acceptor.Acceptor
 	logWriter   io.Closer
 	adapter     Adapter
 	panics      prometheus.Counter
@@ -96,6 +101,15 @@
 	})
 	registry.MustRegister(m.panics)
 	m.sequencer.ContainPanics(m.recordPanic)
+	m.acceptor = acceptor.New(acceptor.Options{
+		Connections: acceptor.Connections(settings.Connections),
+		Budget:      acceptor.NewBudget(settings.HeadMemory),
+		Registry:    registry,
+		Log: log.Sample(&zerolog.BurstSampler{
+			Burst:  clientLogBurst,
+			Period: time.Second,
+		}),
+	})
 	m.dialer = dialer.New(settings.Overlay, m.counter)
 	m.client = linker.NewClient(m.dialer)
 	for _, option := range options {
@@ -180,15 +194,18 @@
 	}
 }
 
-// serve serves HTTP on an address until the server is shut down. It does
-// nothing if the address is empty.
-func (m *member) serve(group *sync.WaitGroup, s *http.Server, address string) {
+// serve serves HTTP on an address until the server is shut down, within the limits on
+// clients. It does nothing if the address is empty. The name of the listener is the
+// key of its address in the settings.
+func (m *member) serve(group *sync.WaitGroup, s *http.Server, name, address string) {
 	if address == "" {
 		return
 	}
 	s.ErrorLog = newDebugLogger(m.log)
+	listener := m.acceptor.Wrap(m.listeners[address], name)
+	listener.Protect(s)
 	group.Go(func() {
-		if err := s.Serve(m.listeners[address]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			m.log.Error().Err(err).Str("address", address).Msg("process: HTTP server failed")
 		}
 	})
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -197,12 +197,12 @@
 
 // start starts the parts specific to a node.
 func (n *node) start(workCtx context.Context, group *sync.WaitGroup) {
-	n.serve(group, n.callers, n.settings.Callers)
-	n.serve(group, n.calls, n.settings.Calls)
-	n.serve(group, n.platform, n.settings.Platform)
+	n.serve(group, n.callers, "callers", n.settings.Callers)
+	n.serve(group, n.calls, "calls", n.settings.Calls)
+	n.serve(group, n.platform, "platform", n.settings.Platform)
 	if n.adapter != nil {
-		n.serve(group, n.ready, n.settings.Ready)
-		n.serve(group, n.announcements, n.settings.Announcements)
+		n.serve(group, n.ready, "ready", n.settings.Ready)
+		n.serve(group, n.announcements, "announcements", n.settings.Announcements)
 	}
 	group.Go(func() { n.confirm(workCtx) })
 	group.Go(func() { n.sequencer.Every(workCtx, reportInterval, func() { n.sendReports(workCtx) }) })
