internal/linker: limit what peers of the overlay port can make a process hold

Cause: the overlay port accepted any number of connections, read megabytes of random bytes on each and kept it open; each connection could hold an incomplete message of 16 MiB; a failed accept for lack of descriptors ended the server for good.

Change: Serve takes ServerOptions and guards each connection. The first frame must call a method of the mux (linker.Mux records their names) within 3 s and is checked byte by byte before the reader of drpc gets the bytes. At the limit on connections, one without a valid first frame is closed for the new one, then one that is not in a call whose first message has arrived; otherwise the new one is refused. What the reader of drpc holds for messages is charged to a budget of the process: the incomplete packet, the buffers that it retains after a large packet and after a long frame. Messages are sent in frames of 4 KiB, because the reader's buffer for frames never shrinks; longer frames of other processes are still read, but charged until the connection ends. A message must be complete after 2 minutes. Refusals are counted with listener="overlay" and logged at the acceptor's rate.

internal/acceptor exports Charge and Refuse for this; a charge for responses may exceed the budget by half of it, for the heads of responses.

Evidence: the tests in guard_test.go.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -146,8 +146,7 @@
 
 // recordRefusal counts and logs a client that exceeded a limit.
 func (l *Listener) recordRefusal(limit, address string) {
-	l.acceptor.refused.WithLabelValues(l.name, limit).Inc()
-	l.acceptor.options.Log.Warn().Str("listener", l.name).Str("limit", limit).Str("address", address).Msg("clients: refused")
+	l.acceptor.Refuse(l.name, limit, address)
 }
 
 type connKey struct{}
--- a/internal/acceptor/budget.go
+++ b/internal/acceptor/budget.go
@@ -50,6 +50,8 @@
 type charge struct {
 	address string
 	cost    int64
+	// reserve is the number of bytes by which it may exceed the budget.
+	reserve int64
 }
 
 // isLarge reports whether a header section with a cost counts as large.
@@ -62,7 +64,12 @@
 func (b *Budget) grow(c *charge, by int64) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	if b.used+by > b.total {
+	return b.growLocked(c, by)
+}
+
+// growLocked is like grow, and requires that the lock is held.
+func (b *Budget) growLocked(c *charge, by int64) bool {
+	if b.used+by > b.total+c.reserve {
 		return false
 	}
 	cost := c.cost + by
@@ -96,6 +103,29 @@
 func (b *Budget) release(c *charge) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	b.releaseLocked(c)
+}
+
+// resize changes a cost. It reports false and leaves the cost as it was if it would
+// grow and the budget does not allow that.
+func (b *Budget) resize(c *charge, cost int64) bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if cost >= c.cost {
+		return b.growLocked(c, cost-c.cost)
+	}
+	b.releaseLocked(c)
+	b.used += cost
+	if isLarge(cost) {
+		b.large += cost
+		b.byAddress[c.address] += cost
+	}
+	c.cost = cost
+	return true
+}
+
+// releaseLocked is like release, and requires that the lock is held.
+func (b *Budget) releaseLocked(c *charge) {
 	b.used -= c.cost
 	if isLarge(c.cost) {
 		b.large -= c.cost
--- a/internal/coordinator/offer_test.go
+++ b/internal/coordinator/offer_test.go
@@ -13,7 +13,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
-	"storj.io/drpc/drpcmux"
 
 	"github.com/fireflymoor/fireflymoor/internal/asserter"
 	"github.com/fireflymoor/fireflymoor/internal/counter"
@@ -89,11 +88,17 @@
 		Log:       zerolog.Nop(),
 		Watcher:   m,
 	}, time.Now())
-	mux := drpcmux.New()
+	mux := linker.NewMux()
 	is.NoErr(messenger.DRPCRegisterOverlay(mux, m))
 	group.Go(func() { m.sequencer.Run(ctx) })
 	group.Go(func() { m.coordinator.Run(ctx) })
-	group.Go(func() { _ = linker.Serve(ctx, listener, mux, count, failOnPanic) })
+	group.Go(func() {
+		_ = linker.Serve(ctx, listener, linker.ServerOptions{
+			Mux:     mux,
+			Counter: count,
+			OnPanic: failOnPanic,
+		})
+	})
 	return m, address
 }
 
--- a/internal/coordinator/start_test.go
+++ b/internal/coordinator/start_test.go
@@ -13,7 +13,6 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
-	"storj.io/drpc/drpcmux"
 
 	"github.com/fireflymoor/fireflymoor/internal/asserter"
 	"github.com/fireflymoor/fireflymoor/internal/counter"
@@ -94,12 +93,18 @@
 		Log:       zerolog.Nop(),
 		Watcher:   m,
 	}, time.Now())
-	mux := drpcmux.New()
+	mux := linker.NewMux()
 	is.NoErr(messenger.DRPCRegisterOverlay(mux, m))
 	listener := f.network.listen(f.addresses[i])
 	group.Go(func() { m.sequencer.Run(f.ctx) })
 	group.Go(func() { m.coordinator.Run(f.ctx) })
-	group.Go(func() { _ = linker.Serve(f.ctx, listener, mux, count, failOnPanic) })
+	group.Go(func() {
+		_ = linker.Serve(f.ctx, listener, linker.ServerOptions{
+			Mux:     mux,
+			Counter: count,
+			OnPanic: failOnPanic,
+		})
+	})
 	time.AfterFunc(300*time.Millisecond, func() {
 		m.sequencer.Post(func() {
 			m.coordinator.SetTargets([]*messenger.Target{{
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -7,16 +7,18 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
-	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/internal/counter"
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/waiter"
 )
 
 const (
@@ -25,6 +27,9 @@
 	idleTimeout = 10 * time.Second
 	// maxMessageBytes is the maximum size of a message.
 	maxMessageBytes = 16 << 20
+	// acceptPause is the time without attempts to accept a connection after one has
+	// failed because the process has no free descriptor or memory.
+	acceptPause = 50 * time.Millisecond
 )
 
 // ManagerOptions are the drpc options of every connection between processes.
@@ -35,7 +40,7 @@
 			MaximumBufferSize: maxMessageBytes,
 		},
 		Stream: drpcstream.Options{
-			SplitSize: maxMessageBytes,
+			SplitSize: maxFrameBytes,
 		},
 	}
 }
@@ -211,11 +216,29 @@
 	return link.run(ctx, s, l.handler, l.dialer.Counter())
 }
 
-// Serve accepts drpc connections and serves the calls on them until ctx ends.
-// Their bytes are counted as control traffic. A panic in a call ends its connection
-// only, and is passed to onPanic with the stack.
-func Serve(ctx context.Context, listener net.Listener, mux *drpcmux.Mux, count *counter.Counter, onPanic func(value any, stack []byte)) error {
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+// ServerOptions are the dependencies and limits of Serve.
+type ServerOptions struct {
+	Mux     *Mux
+	Counter *counter.Counter
+	// OnPanic is called with the value and the stack of a panic in a call, which ends
+	// its connection only.
+	OnPanic func(value any, stack []byte)
+	// Connections is the maximum number of connections, or 0 to derive it from the
+	// process's limit on descriptors.
+	Connections int
+	// Messages bounds the memory for messages that are not complete. If it is nil,
+	// Serve creates a budget of NodeMessageMemory bytes.
+	Messages *acceptor.Budget
+	// OnRefusal is called with the limit that a peer exceeded and its address. It may
+	// be nil.
+	OnRefusal func(limit, address string)
+}
+
+// Serve accepts drpc connections and serves the calls on them until ctx ends, within
+// the limits on clients. Their bytes are counted as control traffic.
+func Serve(ctx context.Context, listener net.Listener, options ServerOptions) error {
+	guard := newGuard(options)
+	server := drpcserver.NewWithOptions(guard, drpcserver.Options{
 		Manager: ManagerOptions(),
 	})
 	stop := context.AfterFunc(ctx, func() {
@@ -223,22 +246,41 @@
 	})
 	defer stop()
 	for {
-		conn, err := listener.Accept()
+		raw, err := listener.Accept()
 		if ctx.Err() != nil {
 			return nil
 		}
+		if isTemporary(err) {
+			waiter.Pause(ctx, acceptPause)
+			continue
+		}
 		if err != nil {
 			return errors.Wrap(err, "linker: accept")
 		}
-		count.CountAccepted()
+		options.Counter.CountAccepted()
+		conn := guard.admit(options.Counter.Wrap(raw, idleTimeout))
+		if conn == nil {
+			continue
+		}
 		go func() {
 			defer func() {
 				if value := recover(); value != nil {
-					onPanic(value, debug.Stack())
+					options.OnPanic(value, debug.Stack())
 					_ = conn.Close()
 				}
 			}()
-			_ = server.ServeOne(ctx, count.Wrap(conn, idleTimeout))
+			_ = server.ServeOne(ctx, conn)
 		}()
 	}
 }
+
+// isTemporary reports whether a later attempt to accept a connection may succeed after
+// an error.
+func isTemporary(err error) bool {
+	for _, number := range []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ECONNABORTED} {
+		if errors.Is(err, number) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 	"storj.io/drpc"
-	"storj.io/drpc/drpcmux"
 
 	"github.com/fireflymoor/fireflymoor/internal/counter"
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
@@ -41,11 +40,15 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	count := counter.New(prometheus.NewRegistry())
-	mux := drpcmux.New()
+	mux := NewMux()
 	is.NoErr(messenger.DRPCRegisterOverlay(mux, &panickingServer{}))
 	panics := make(chan any, 1)
 	go func() {
-		_ = Serve(ctx, listener, mux, count, func(value any, _ []byte) { panics <- value })
+		_ = Serve(ctx, listener, ServerOptions{
+			Mux:     mux,
+			Counter: count,
+			OnPanic: func(value any, _ []byte) { panics <- value },
+		})
 	}()
 	client := NewClient(dialer.New("127.0.0.1:0", count))
 	report := func() error {
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -9,11 +9,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"storj.io/drpc/drpcmux"
 
 	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/internal/admitter"
 	"github.com/fireflymoor/fireflymoor/internal/controller"
+	"github.com/fireflymoor/fireflymoor/internal/linker"
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/operator"
@@ -73,6 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
+	m.messages = acceptor.NewBudget(linker.ControlMessageMemory)
 	disk, err := persister.New(settings.DataFolder)
 	if err != nil {
 		m.close()
@@ -189,8 +191,8 @@
 	c.log.Info().Str("zone", c.settings.Zone).Str("disk", c.persister.Disk()).Msg("process: control replica started")
 }
 
-func (c *control) mux() *drpcmux.Mux {
-	mux := drpcmux.New()
+func (c *control) mux() *linker.Mux {
+	mux := linker.NewMux()
 	server := &controlServer{control: c}
 	_ = messenger.DRPCRegisterOverlay(mux, server)
 	_ = messenger.DRPCRegisterSource(mux, server)
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -16,7 +16,6 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
-	"storj.io/drpc/drpcmux"
 
 	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/internal/asserter"
@@ -63,9 +62,13 @@
 	boot        uint64
 	listeners   map[string]net.Listener
 	acceptor    *acceptor.Acceptor
-	logWriter   io.Closer
-	adapter     Adapter
-	panics      prometheus.Counter
+	// heads bounds the memory for header sections, and messages that for incomplete
+	// messages of other processes.
+	heads     *acceptor.Budget
+	messages  *acceptor.Budget
+	logWriter io.Closer
+	adapter   Adapter
+	panics    prometheus.Counter
 }
 
 // newMember returns a member that listens on the non-empty addresses.
@@ -101,9 +104,10 @@
 	})
 	registry.MustRegister(m.panics)
 	m.sequencer.ContainPanics(m.recordPanic)
+	m.heads = acceptor.NewBudget(settings.HeadMemory)
 	m.acceptor = acceptor.New(acceptor.Options{
 		Connections: acceptor.Connections(settings.Connections),
-		Budget:      acceptor.NewBudget(settings.HeadMemory),
+		Budget:      m.heads,
 		Registry:    registry,
 		Log: log.Sample(&zerolog.BurstSampler{
 			Burst:  clientLogBurst,
@@ -232,7 +236,7 @@
 // role, which run until workCtx ends. leave is called after ctx has ended and
 // before workCtx is canceled. The sequencer stops last, because the other parts
 // post tasks to it.
-func (m *member) run(ctx context.Context, mux *drpcmux.Mux, start func(workCtx context.Context, group *sync.WaitGroup), leave func()) {
+func (m *member) run(ctx context.Context, mux *linker.Mux, start func(workCtx context.Context, group *sync.WaitGroup), leave func()) {
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	sequencerCtx, stopSequencer := context.WithCancel(context.WithoutCancel(ctx))
@@ -252,10 +256,19 @@
 	m.client.Close()
 }
 
-// serveOverlay serves the requests of other processes until ctx ends.
-func (m *member) serveOverlay(ctx context.Context, group *sync.WaitGroup, mux *drpcmux.Mux) {
+// serveOverlay serves the requests of other processes until ctx ends, within the
+// limits on clients.
+func (m *member) serveOverlay(ctx context.Context, group *sync.WaitGroup, mux *linker.Mux) {
 	group.Go(func() {
-		if err := linker.Serve(ctx, m.listeners[m.settings.Overlay], mux, m.counter, m.recordPanic); err != nil {
+		err := linker.Serve(ctx, m.listeners[m.settings.Overlay], linker.ServerOptions{
+			Mux:         mux,
+			Counter:     m.counter,
+			OnPanic:     m.recordPanic,
+			Connections: m.settings.Connections,
+			Messages:    m.messages,
+			OnRefusal:   func(limit, address string) { m.acceptor.Refuse("overlay", limit, address) },
+		})
+		if err != nil {
 			m.log.Error().Err(err).Msg("overlay: server failed")
 		}
 	})
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -11,14 +11,15 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
-	"storj.io/drpc/drpcmux"
 
 	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/internal/applier"
 	"github.com/fireflymoor/fireflymoor/internal/balancer"
 	"github.com/fireflymoor/fireflymoor/internal/caller"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
 	"github.com/fireflymoor/fireflymoor/internal/forwarder"
+	"github.com/fireflymoor/fireflymoor/internal/linker"
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/packer"
@@ -88,6 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
+	m.messages = acceptor.NewBudget(linker.NodeMessageMemory)
 	n := &node{
 		member:  m,
 		applier: applier.New(settings.Team, renderer.New(parser.New()), m.asserter),
@@ -228,8 +230,8 @@
 	n.shutdown(n.callers, n.calls, n.platform, n.ready, n.announcements)
 }
 
-func (n *node) mux() *drpcmux.Mux {
-	mux := drpcmux.New()
+func (n *node) mux() *linker.Mux {
+	mux := linker.NewMux()
 	_ = messenger.DRPCRegisterOverlay(mux, &nodeServer{node: n})
 	_ = messenger.DRPCRegisterClaims(mux, &claimsServer{claims: n.claims})
 	return mux
