internal/sender: charge the heads of responses to the budget of the process

Cause: the head of one response may have 64 KiB, which is some 16,000 lines and several megabytes in memory. Nothing bounded their sum over the calls in progress of a node.

Change: a Transport with a budget charges the lines and bytes of a head, and of the informational responses before it, until its response is closed. A head that the budget does not allow fails the call with the outcome unknown, because its request was sent. Nodes pass the budget of the listeners to the transports to targets and to other nodes. Small heads may exceed the budget by half of it, so that requests that fill it do not lose the responses of calls that have run.

Endless chunk extensions, trailer lines and header lines of informational responses were bounded before by net/http and by the limit on heads; endless_test.go now covers them, and checks that the parts of chunked bodies that are not data are bounded.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,16 +79,21 @@
 	lock           sync.Mutex
 	transports     map[string]*sender.Transport
 	queryTransport *sender.Transport
+	// options are those of all transports.
+	options []sender.Option
 }
 
-// NewRemote returns a new Remote. It sends headers that packer has packed.
-func NewRemote(dialer *dialer.Dialer, packer *packer.Packer) *Remote {
-	queryTransport := sender.NewTransport(dialer.TrafficDialFunc(dialTimeout), 0, sender.WithPacker(packer))
+// NewRemote returns a new Remote. It sends headers that packer has packed. The options
+// apply to the transports to all nodes.
+func NewRemote(dialer *dialer.Dialer, packer *packer.Packer, options ...sender.Option) *Remote {
+	options = append([]sender.Option{sender.WithPacker(packer)}, options...)
+	queryTransport := sender.NewTransport(dialer.TrafficDialFunc(dialTimeout), 0, options...)
 	return &Remote{
 		dialer:         dialer,
 		packer:         packer,
 		transports:     map[string]*sender.Transport{},
 		queryTransport: queryTransport,
+		options:        options,
 	}
 }
 
@@ -99,7 +104,8 @@
 	defer f.lock.Unlock()
 	t := f.transports[address]
 	if t == nil {
-		t = sender.NewTransport(f.dialer.TrafficDialFunc(dialTimeout), idleTimeout, sender.WithResponseMatcher(sameCall), sender.WithPacker(f.packer))
+		options := append([]sender.Option{sender.WithResponseMatcher(sameCall)}, f.options...)
+		t = sender.NewTransport(f.dialer.TrafficDialFunc(dialTimeout), idleTimeout, options...)
 		f.transports[address] = t
 	}
 	return t
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -27,6 +27,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
+	"github.com/fireflymoor/fireflymoor/internal/sender"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
 	"github.com/fireflymoor/fireflymoor/internal/waiter"
@@ -98,7 +99,7 @@
 		packer:  packer.New(settings.Name, m.dialect().CommonHeaders()...),
 		claims:  newClaims(settings, m.client),
 	}
-	n.remote = forwarder.NewRemote(m.dialer, n.packer)
+	n.remote = forwarder.NewRemote(m.dialer, n.packer, sender.WithBudget(m.heads))
 	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
 	n.view.Store(&empty)
 	n.targets = target.NewRegistry(settings.Name, settings.Lease, m.log, n.targetsChanged, func(ctx context.Context) error {
@@ -114,7 +115,7 @@
 
 // initServers creates the HTTP servers of the node.
 func (n *node) initServers() {
-	local := target.NewServer(n.targets, n.dialect(), n.dialer)
+	local := target.NewServer(n.targets, n.dialect(), n.dialer, sender.WithBudget(n.heads))
 	var claims caller.Claims
 	if n.settings.Keys {
 		claims = n.claims.claimer
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 )
 
 const (
@@ -30,6 +32,9 @@
 // final response.
 var errHeadTooLong = errors.New("sender: the head of the answer is too long")
 
+// errNoHeadMemory means that the budget did not allow the head of a response.
+var errNoHeadMemory = errors.New("sender: no memory is left for the head of the answer")
+
 // conn is a connection that carries one request at a time.
 type conn struct {
 	raw     net.Conn
@@ -49,10 +54,14 @@
 	err error
 }
 
-func newConn(raw net.Conn) *conn {
+func newConn(raw net.Conn, budget *acceptor.Budget) *conn {
 	source := &headLimiter{
 		source: raw,
 	}
+	if budget != nil {
+		// With the port, so that targets on one machine do not share a part.
+		source.charge = budget.NewResponseCharge(raw.RemoteAddr().String())
+	}
 	return &conn{
 		raw:    raw,
 		source: source,
@@ -62,11 +71,45 @@
 }
 
 // headLimiter reads from a connection. While a head is read, it fails after
-// maxHeadBytes.
+// maxHeadBytes, or if the budget does not allow the head.
 type headLimiter struct {
 	source    io.Reader
 	limited   bool
 	remaining int
+	scanner   headScanner
+	// charge is nil if there is no budget.
+	charge *acceptor.Charge
+}
+
+// begin begins to limit a head and all informational responses before it.
+func (l *headLimiter) begin() {
+	l.limited = true
+	l.remaining = maxHeadBytes
+	l.release()
+}
+
+// next charges the next response, of which some bytes may have been read before.
+func (l *headLimiter) next(buffered []byte) error {
+	l.scanner = headScanner{}
+	return l.observe(buffered)
+}
+
+// observe charges the bytes that belong to the head.
+func (l *headLimiter) observe(p []byte) error {
+	if l.charge == nil {
+		return nil
+	}
+	if !l.charge.AddHead(l.scanner.scan(p)) {
+		return errNoHeadMemory
+	}
+	return nil
+}
+
+// release returns the charge for the head to the budget.
+func (l *headLimiter) release() {
+	if l.charge != nil {
+		l.charge.Release()
+	}
 }
 
 // Read implements io.Reader.
@@ -79,6 +122,9 @@
 	}
 	n, err := l.source.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	if refused := l.observe(p[:n]); refused != nil {
+		return 0, refused
+	}
 	return n, err
 }
 
@@ -88,6 +134,7 @@
 }
 
 func (c *conn) close() {
+	c.source.release()
 	_ = c.raw.Close()
 }
 
@@ -150,10 +197,13 @@
 
 // read reads the next final response and skips informational ones.
 func (c *conn) read(request *http.Request) (*http.Response, error) {
-	c.source.limited = true
-	c.source.remaining = maxHeadBytes
+	c.source.begin()
 	defer func() { c.source.limited = false }()
 	for {
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		if err := c.source.next(buffered); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			if s := c.written.Load(); s != nil {
--- a/internal/sender/endless_test.go
+++ b/internal/sender/endless_test.go
@@ -33,6 +33,9 @@
 	// hasHead is set if the answer has a proper head. The end of its body is
 	// awaited by whoever reads it.
 	hasHead bool
+	// bounded is set if the part is bounded in spite of the head, because it is not
+	// data of the body.
+	bounded bool
 }
 
 var endlessAnswers = []endless{
@@ -84,12 +87,39 @@
 		begin:   "HTTP/1.1 200 OK\r\nTest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n",
 		part:    strings.Repeat("0", 1000),
 		hasHead: true,
+		bounded: true,
+	},
+	{
+		name: "informational responses with header lines",
+		part: "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("Name: value\r\n", 100) + "\r\n",
+	},
+	{
+		name:    "the extension of a chunk",
+		begin:   "HTTP/1.1 200 OK\r\nTest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n1;name=",
+		part:    strings.Repeat("x", 1000),
+		hasHead: true,
+		bounded: true,
+	},
+	{
+		name:    "chunks with extensions",
+		begin:   "HTTP/1.1 200 OK\r\nTest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+		part:    strings.Repeat("1;name="+strings.Repeat("x", 1000)+"\r\nx\r\n", 10),
+		hasHead: true,
+		bounded: true,
+	},
+	{
+		name:    "a trailer line",
+		begin:   "HTTP/1.1 200 OK\r\nTest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nName: ",
+		part:    strings.Repeat("x", 1000),
+		hasHead: true,
+		bounded: true,
 	},
 	{
 		name:    "trailers",
 		begin:   "HTTP/1.1 200 OK\r\nTest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
 		part:    strings.Repeat("Name: value\r\n", 100),
 		hasHead: true,
+		bounded: true,
 	},
 	{
 		name:    "an answer to another request",
@@ -142,7 +172,7 @@
 			is.True(err != nil)
 			is.Equal(outcome, fireflymoor.Unknown)
 			is.True(time.Since(began) < 2*endlessTimeout)
-			if !answer.hasHead {
+			if !answer.hasHead || answer.bounded {
 				is.True(written.Load() < endlessLimit)
 			}
 			select {
--- a/internal/sender/transport.go
+++ b/internal/sender/transport.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/internal/packer"
 )
 
@@ -43,6 +44,9 @@
 	matches func(request, response http.Header) bool
 	// packer packs and unpacks headers. It is nil if headers are sent unpacked.
 	packer *packer.Packer
+	// budget bounds the memory for the heads of responses. It is nil if there is no
+	// bound on their sum.
+	budget *acceptor.Budget
 
 	lock     sync.Mutex
 	conns    map[string][]*conn
@@ -70,6 +74,14 @@
 	}
 }
 
+// WithBudget makes a Transport charge the heads of responses to a budget until the
+// responses are closed.
+func WithBudget(budget *acceptor.Budget) Option {
+	return func(t *Transport) {
+		t.budget = budget
+	}
+}
+
 // NewTransport returns a new Transport that opens connections with dial. A
 // connection is not reused after it has been idle for longer than idle or than
 // the keep-alive time that its peer announced. With an idle time of 0, no
@@ -113,6 +125,7 @@
 		ReadCloser: response.Body,
 		remaining:  response.ContentLength,
 		onEnd: func(complete bool) {
+			c.source.release()
 			if stop() && complete && !response.Close && c.isIdle() {
 				t.put(request.URL.Host, c, keepAlive(response.Header))
 				return
@@ -213,7 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw), nil
+	return newConn(raw, t.budget), nil
 }
 
 // take removes and returns the most recently used idle connection, or nil if
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -39,12 +39,13 @@
 }
 
 // NewServer returns a new Server that uses dialect for the headers of calls to the
-// targets.
-func NewServer(registry *Registry, dialect fireflymoor.Dialect, dialer *dialer.Dialer) *Server {
+// targets. The options apply to the transport to the targets.
+func NewServer(registry *Registry, dialect fireflymoor.Dialect, dialer *dialer.Dialer, options ...sender.Option) *Server {
+	options = append([]sender.Option{sender.WithResponseMatcher(dialect.SameCall)}, options...)
 	return &Server{
 		registry:  registry,
 		dialect:   dialect,
-		transport: sender.NewTransport(dialer.TrafficDialFunc(dialTimeout), idleTimeout, sender.WithResponseMatcher(dialect.SameCall)),
+		transport: sender.NewTransport(dialer.TrafficDialFunc(dialTimeout), idleTimeout, options...),
 		running:   map[string]int{},
 	}
 }
