--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -109,6 +109,7 @@
 		evicted, _ = oldest.Value.(*conn)
 		l.waiting.Remove(oldest)
 		evicted.element = nil
+		evicted.forgotten = true
 	}
 	if !full || evicted != nil {
 		l.count++
@@ -179,11 +180,13 @@
 	}
 }
 
-// beginRequest excludes a connection from being closed to make room for others.
-func (l *Listener) beginRequest(c *conn) {
+// beginRequest excludes a connection from being closed to make room for others. It
+// reports false if it was chosen for that before, or is closed.
+func (l *Listener) beginRequest(c *conn) bool {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	l.unlist(c)
+	return !c.forgotten
 }
 
 // endRequest records that a connection has no request in progress.
@@ -204,34 +207,56 @@
 		case !ok:
 		case request.ProtoMajor > 1:
 			if !l.serveStream(w, request, c, next) {
-				http.Error(w, "not-run: the header section is refused", http.StatusServiceUnavailable)
+				refuse(w)
 			}
 			return
+		case !l.beginRequest(c):
+			// Its response could not be delivered.
+			w.Header().Set("Connection", "close")
+			refuse(w)
+			return
 		default:
 			// The server reports no state for a request that it had read together with
-			// the one before.
-			l.beginRequest(c)
-			if c.beginRequest() {
+			// the one before, and its header section may not have been charged.
+			last, ok := c.beginRequest(request)
+			if last || !ok {
 				w.Header().Set("Connection", "close")
 			}
+			if !ok {
+				l.recordRefusal(limitMemory, c.charge.address)
+				refuse(w)
+				return
+			}
 		}
 		next.ServeHTTP(w, request)
 	})
 }
 
-// serveStream serves a request of an HTTP/2 connection. It reports false if the
-// budget does not allow its header section.
-func (l *Listener) serveStream(w http.ResponseWriter, request *http.Request, c *conn, next http.Handler) bool {
+// refuse responds to a request that has not run.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Fireflymoor-Outcome", "not-run")
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, "not-run: the header section is refused", http.StatusServiceUnavailable)
+}
+
+// headerCost returns the cost of a header section that was not scanned.
+func headerCost(header http.Header) int64 {
 	cost := 0
-	for name, values := range request.Header {
+	for name, values := range header {
 		for _, value := range values {
 			cost += lineCost + byteFactor*(len(name)+len(value))
 		}
 	}
+	return int64(cost)
+}
+
+// serveStream serves a request of an HTTP/2 connection. It reports false if the
+// budget does not allow its header section.
+func (l *Listener) serveStream(w http.ResponseWriter, request *http.Request, c *conn, next http.Handler) bool {
 	held := charge{
 		address: c.charge.address,
 	}
-	if !l.budget.grow(&held, int64(cost)) {
+	if !l.budget.grow(&held, headerCost(request.Header)) {
 		l.recordRefusal(limitMemory, held.address)
 		return false
 	}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -26,7 +27,8 @@
 	net.Conn
 	listener *Listener
 	// element is the connection's place among those without a request in progress,
-	// or nil, and forgotten is set once it is closed. The listener's lock guards both.
+	// or nil, and forgotten is set once it is closed, or is about to be closed to make
+	// room for another one. The listener's lock guards both.
 	element   *list.Element
 	forgotten bool
 
@@ -75,7 +77,7 @@
 func (c *conn) observe(p []byte) string {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if !c.reading || c.scanner.ended || c.scanner.preface || c.closed {
+	if !c.reading || c.scanner.ended || c.closed {
 		return ""
 	}
 	n, lines := c.scanner.scan(p)
@@ -88,13 +90,21 @@
 	return ""
 }
 
-// beginRequest marks the header section as read. It reports whether the request has
-// both headers that determine the length of its body.
-func (c *conn) beginRequest() bool {
+// beginRequest marks the header section as read. It reports whether the request must
+// be the last one of the connection because it has, or may have had, both headers that
+// determine the length of its body. It returns false for ok if the budget does not
+// allow the header section.
+func (c *conn) beginRequest(request *http.Request) (last, ok bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.reading = false
-	return c.scanner.length && c.scanner.chunked
+	ok = true
+	scanned := c.scanner.isHeadOf(request)
+	if !scanned && !c.closed {
+		ok = c.listener.budget.grow(&c.charge, headerCost(request.Header))
+	}
+	last = len(request.TransferEncoding) > 0 && (!scanned || c.scanner.length)
+	return last, ok
 }
 
 // endRequest releases the charge of the request that has ended.
@@ -102,7 +112,7 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.listener.budget.release(&c.charge)
-	if !c.scanner.preface {
+	if !c.scanner.ended || !c.scanner.preface {
 		c.scanner.reset()
 		c.reading = true
 	}
--- a/internal/acceptor/scanner.go
+++ b/internal/acceptor/scanner.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 )
 
 const (
@@ -29,7 +30,11 @@
 	// length and chunked report whether the headers Content-Length and
 	// Transfer-Encoding were found.
 	length, chunked bool
-	preface         bool
+	// preface reports whether the first line is that of an HTTP/2 connection, without
+	// header lines after it.
+	preface bool
+	// first holds the beginning of the first line.
+	first []byte
 	// name holds the beginning of the current line in lower case, without carriage
 	// returns, and lineBytes is the length of the line so far.
 	name      []byte
@@ -71,8 +76,9 @@
 		s.ended = true
 		return
 	case s.lines == 0:
-		s.preface = bytes.Equal(s.name, prefaceLine)
+		s.first = append(s.first[:0], s.name...)
 	}
+	s.preface = s.lines == 0 && bytes.Equal(s.name, prefaceLine)
 	s.length = s.length || bytes.HasPrefix(s.name, contentLength)
 	s.chunked = s.chunked || bytes.HasPrefix(s.name, transferEncoding)
 	s.lines++
@@ -80,6 +86,22 @@
 	s.name = s.name[:0]
 }
 
+// isHeadOf reports whether the header section is complete and begins like that of a
+// request. It does not if its beginning was read together with an earlier request.
+func (s *scanner) isHeadOf(request *http.Request) bool {
+	line := request.Method + " " + request.RequestURI + " " + request.Proto
+	line = line[:min(len(line), maxNameBytes)]
+	if !s.ended || len(line) != len(s.first) {
+		return false
+	}
+	for i := range s.first {
+		if s.first[i] != lower(line[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 func lower(c byte) byte {
 	if 'A' <= c && c <= 'Z' {
 		return c + 'a' - 'A'
@@ -90,6 +112,7 @@
 // reset prepares the scanner for the next header section.
 func (s *scanner) reset() {
 	*s = scanner{
-		name: s.name[:0],
+		name:  s.name[:0],
+		first: s.first[:0],
 	}
 }
