internal/linker: read large messages at a limited rate

Cause: the reader of drpc grows the buffer of a packet by a quarter at a time. Although at most 17 MiB of large messages were held at once, 400 local peers that sent messages of up to 16 MiB in frames of 4 KiB or 64 KiB made the process discard buffers faster than the collector freed them.

Change: after 64 KiB of a message, its connection is read at 16 MiB/s, shared by all connections. That is ten times the rate of the fastest link.

TestLargeMessagesArePaced fails without it.

--- a/internal/linker/guard.go
+++ b/internal/linker/guard.go
@@ -32,6 +32,13 @@
 	// messageTimeout bounds the time between the first and the last byte of a message.
 	// A message of the maximum size takes 35 s on a link of 3.9 Mbit/s.
 	messageTimeout = 2 * time.Minute
+	// pacedBytes is the size from which messages are read at pacedRate bytes a second,
+	// over all connections. The reader of drpc grows its buffer by a quarter at a time,
+	// and discards four times the size of a message for that. Without the limit, 400
+	// local peers made it discard memory faster than it was collected, up to 913 MiB. The
+	// rate is ten times that of the fastest link.
+	pacedBytes = 64 << 10
+	pacedRate  = 16 << 20
 )
 
 // Limits that a peer may exceed, as labels of the metric.
@@ -84,6 +91,8 @@
 	// connection that has been in a list for longest comes first.
 	unopened *list.List
 	waiting  *list.List
+	// free is when the bytes of large messages that have been read are within the rate.
+	free time.Time
 }
 
 func newGuard(options ServerOptions) *guard {
@@ -118,6 +127,7 @@
 		guard:   g,
 		address: address,
 		charge:  g.messages.NewCharge(address),
+		ended:   make(chan struct{}),
 		scanner: frameScanner{
 			methods: g.mux.methods,
 		},
@@ -159,6 +169,17 @@
 	return nil
 }
 
+// pace returns how long a connection must wait after n bytes of a large message.
+func (g *guard) pace(n int, now time.Time) time.Duration {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if g.free.Before(now) {
+		g.free = now
+	}
+	g.free = g.free.Add(time.Duration(n) * time.Second / pacedRate)
+	return g.free.Sub(now)
+}
+
 // HandleRPC implements drpc.Handler.
 func (g *guard) HandleRPC(stream drpc.Stream, rpc string) error {
 	transport, _ := drpcctx.Transport(stream.Context())
@@ -175,6 +196,8 @@
 	guard   *guard
 	address string
 	timer   *time.Timer
+	// ended is closed when the connection is closed.
+	ended chan struct{}
 
 	// The guard's lock guards these fields.
 	list    *list.List
@@ -263,16 +286,26 @@
 	if n == 0 {
 		return n, err
 	}
-	if limit := c.observe(p[:n], time.Now()); limit != "" {
+	now := time.Now()
+	limit, large := c.observe(p[:n], now)
+	if limit != "" {
 		c.refuse(limit)
 		return 0, errRefused
 	}
+	if large {
+		timer := time.NewTimer(c.guard.pace(n, now))
+		defer timer.Stop()
+		select {
+		case <-c.ended:
+		case <-timer.C:
+		}
+	}
 	return n, err
 }
 
 // observe charges the bytes that have arrived. It returns the limit that they exceed,
-// or "".
-func (c *guardedConn) observe(p []byte, now time.Time) string {
+// or "", and whether they belong to a large message.
+func (c *guardedConn) observe(p []byte, now time.Time) (limit string, large bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	s := &c.scanner
@@ -283,21 +316,21 @@
 	}
 	switch {
 	case c.closed:
-		return ""
+		return "", false
 	case !ok && !s.opened:
-		return limitFirstFrame
+		return limitFirstFrame, false
 	case !ok:
-		return limitFrame
+		return limitFrame, false
 	case !c.charge.Resize(s.cost()):
-		return limitMemory
+		return limitMemory, false
 	case !s.incomplete:
 		c.since = time.Time{}
 	case c.since.IsZero():
 		c.since = now
 	case now.Sub(c.since) > messageTimeout:
-		return limitMessageTime
+		return limitMessageTime, false
 	}
-	return ""
+	return "", s.incomplete && s.size > pacedBytes
 }
 
 // Close implements net.Conn.
@@ -310,6 +343,7 @@
 	}
 	c.lock.Unlock()
 	if first {
+		close(c.ended)
 		c.timer.Stop()
 		c.guard.lock.Lock()
 		c.guard.count--
--- a/internal/linker/guard_test.go
+++ b/internal/linker/guard_test.go
@@ -375,6 +375,32 @@
 	}
 }
 
+// TestLargeMessagesArePaced sends large messages on several connections at once. Read as
+// fast as they arrived, they made the process discard buffers faster than these were
+// collected. Small messages are not delayed.
+func TestLargeMessagesArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const count, size = 4, 2 << 20
+		o := newOverlay(t, 10, NodeMessageMemory)
+		began := time.Now()
+		results := make(chan error, count)
+		for range count {
+			conn := o.dial(t)
+			go func() { results <- report(conn, "", strings.Repeat("x", size)) }()
+		}
+		small := o.dial(t)
+		is.NoErr(report(small, "", strings.Repeat("x", 10<<10)))
+		is.Equal(time.Since(began), time.Duration(0))
+		for range count {
+			is.NoErr(<-results)
+		}
+		lasted := time.Since(began)
+		is.True(lasted >= count*(size-2*pacedBytes)*time.Second/pacedRate)
+		is.True(lasted <= count*size*time.Second/pacedRate)
+	})
+}
+
 // TestAcceptSurvivesMissingDescriptors makes accepting a connection fail because the
 // process has no free descriptor. That ended the server for good.
 func TestAcceptSurvivesMissingDescriptors(t *testing.T) {
