internal/acceptor: fit the limits to bare line feeds and six listeners

A header section of 64 KiB may have 21,845 lines that end in bare line feeds, more than half of 36 MiB. A node has six listeners, so that a third of the descriptors for each could exceed the limit in sum.

--- a/internal/acceptor/budget.go
+++ b/internal/acceptor/budget.go
@@ -23,8 +23,8 @@
 )
 
 // MinHeadMemory is the minimum size of a Budget, in bytes. It allows for one header
-// section of 64 KiB with the largest possible number of lines.
-const MinHeadMemory = 36 << 20
+// section of 64 KiB with the largest possible number of lines, which have three bytes.
+const MinHeadMemory = 48 << 20
 
 // A Budget bounds the memory for the header sections that are being read or whose
 // requests are in progress. It is safe for concurrent use.
--- a/internal/acceptor/descriptors.go
+++ b/internal/acceptor/descriptors.go
@@ -9,9 +9,9 @@
 	// connection without a request takes some 20 KiB.
 	maxDefaultConnections = 2000
 	// descriptorDivisor divides the process's limit on descriptors to give the default
-	// number of connections of a listener. The connections of a call to its target's
-	// node and to its target need descriptors too.
-	descriptorDivisor = 3
+	// number of connections of a listener. A node has up to six listeners, and most of
+	// their connections are those of two.
+	descriptorDivisor = 6
 )
 
 // Connections returns the maximum number of connections of a listener: the number in
