--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -77,6 +77,12 @@
 	relay    bool
 	// window is the retention time of idempotency keys, or 0 for the default.
 	window time.Duration
+	// environment holds additional environment variables of the replicas and
+	// nodes, as NAME=VALUE.
+	environment []string
+	// maxDescriptors is the maximum number of open file descriptors of each
+	// replica and node, or 0 for the limit of this process.
+	maxDescriptors int
 }
 
 // allServices has one node of each service in each zone.
@@ -102,7 +108,9 @@
 		Replicas: s.replicas,
 		Relay:    relay,
 
-		KeyWindow: s.window,
+		KeyWindow:      s.window,
+		Environment:    s.environment,
+		MaxDescriptors: s.maxDescriptors,
 	})
 	m := &mesh{
 		Cluster: cluster,
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -68,6 +68,12 @@
 	// KeyWindow is the retention time of idempotency keys on nodes, or 0 for
 	// the default.
 	KeyWindow time.Duration
+	// Environment holds additional environment variables of the replicas and
+	// nodes, as NAME=VALUE.
+	Environment []string
+	// MaxDescriptors is the maximum number of open file descriptors of each
+	// replica and node, or 0 for the limit of this process.
+	MaxDescriptors int
 	// Relay is called for each address that is advertised to other processes
 	// in place of the real one, so that a test can intercept connections. It
 	// must accept connections at listen and relay them to the real address. It
@@ -298,12 +304,16 @@
 		return nil, errors.Wrap(err, "launcher: write settings")
 	}
 	p := &Process{
-		Name:      name,
-		IP:        ip,
-		Zone:      zone,
-		program:   c.spec.Program,
-		arguments: append(slices.Clone(arguments), path),
-		logPath:   filepath.Join(c.spec.Folder, name+".log"),
+		Name:        name,
+		IP:          ip,
+		Zone:        zone,
+		program:     c.spec.Program,
+		arguments:   append(slices.Clone(arguments), path),
+		environment: c.spec.Environment,
+		logPath:     filepath.Join(c.spec.Folder, name+".log"),
+	}
+	if c.spec.MaxDescriptors > 0 {
+		p.limitDescriptors(c.spec.MaxDescriptors)
 	}
 	return p, c.launch(p)
 }
@@ -341,6 +351,7 @@
 		_ = log.Close()
 	}()
 	p.command = exec.Command(p.program, p.arguments...)
+	p.command.Env = append(os.Environ(), p.environment...)
 	p.command.Stdout = log
 	p.command.Stderr = log
 	p.command.SysProcAttr = &syscall.SysProcAttr{
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -1,12 +1,19 @@
 package launcher
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
+const bytesPerKibibyte = 1024
+
 // A Process is a process that was started once and may have ended since.
 type Process struct {
 	Name string
@@ -15,11 +22,20 @@
 	// Zone is its availability zone.
 	Zone string
 
-	arguments []string
-	program   string
-	logPath   string
-	command   *exec.Cmd
-	ended     chan struct{}
+	arguments   []string
+	program     string
+	environment []string
+	logPath     string
+	command     *exec.Cmd
+	ended       chan struct{}
+}
+
+// limitDescriptors makes the process start through a shell that sets the maximum
+// number of open file descriptors and then replaces itself with the program.
+func (p *Process) limitDescriptors(limit int) {
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, limit)
+	p.arguments = append([]string{"-c", script, p.program}, p.arguments...)
+	p.program = "/bin/sh"
 }
 
 // Restart starts a new run of a process that has ended, with the same settings
@@ -87,3 +103,48 @@
 	text, _ := os.ReadFile(p.logPath)
 	return string(text)
 }
+
+// Memory is the resident memory of a process, in bytes.
+type Memory struct {
+	// Resident is the current size.
+	Resident int64
+	// Peak is the largest size since the process started.
+	Peak int64
+}
+
+// Memory returns the resident memory of a running process. It returns an error if
+// the process has ended.
+func (p *Process) Memory() (Memory, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return Memory{}, errors.Wrapf(err, "launcher: memory of %s", p.Name)
+	}
+	m := Memory{}
+	for line := range strings.Lines(string(text)) {
+		field, rest, _ := strings.Cut(line, ":")
+		size := &m.Resident
+		switch field {
+		case "VmRSS":
+		case "VmHWM":
+			size = &m.Peak
+		default:
+			continue
+		}
+		kibibytes, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
+		if err != nil {
+			return Memory{}, errors.Wrapf(err, "launcher: memory of %s", p.Name)
+		}
+		*size = kibibytes * bytesPerKibibyte
+	}
+	if m.Resident == 0 || m.Peak == 0 {
+		return Memory{}, errors.Newf("launcher: %s has no memory", p.Name)
+	}
+	return m, nil
+}
+
+// Descriptors returns the number of open file descriptors of a running process.
+// It returns an error if the process has ended.
+func (p *Process) Descriptors() (int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
+	return len(entries), errors.Wrapf(err, "launcher: descriptors of %s", p.Name)
+}
