--- a/integration/clients_test.go
+++ b/integration/clients_test.go
@@ -435,16 +435,17 @@
 // the configured limits while the processes are calm.
 func TestLargestLegalHead(t *testing.T) {
 	m := start(t, attacked)
-	for address, path := range map[string]string{
-		launcher.CallersAddress(m.nodes[0].IP):      callPath,
-		launcher.CallersAddress(m.nodes[1].IP):      callPath,
-		launcher.PlatformAddress(m.nodes[0].IP):     platformPath,
-		launcher.PlatformAddress(m.controls[0].IP):  platformPath,
-		launcher.OperatorsAddress(m.controls[0].IP): statusPath,
+	authorized := requestLine(statusPath) + "Authorization: Bearer " + launcher.Token + "\r\n"
+	for address, start := range map[string]string{
+		launcher.CallersAddress(m.nodes[0].IP):      requestLine(callPath),
+		launcher.CallersAddress(m.nodes[1].IP):      requestLine(callPath),
+		launcher.PlatformAddress(m.nodes[0].IP):     requestLine(platformPath),
+		launcher.PlatformAddress(m.controls[0].IP):  requestLine(platformPath),
+		launcher.OperatorsAddress(m.controls[0].IP): authorized,
 	} {
-		for _, lines := range []int{3000, 4000} {
-			t.Log(address, path, lines)
-			m.is.Equal(requestStatus(t, address, legalHead(path, lines)), http.StatusOK)
+		for _, lines := range []int{legalLines, 4000} {
+			t.Log(address, lines)
+			m.is.Equal(requestStatus(t, address, legalHead(start, lines)), http.StatusOK)
 		}
 	}
 }
--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -20,6 +20,9 @@
 	measuredLines = 3500
 	// legalHeadBytes is the size of a header section that a configuration allows.
 	legalHeadBytes = 16384
+	// legalLines is the number of header lines of that size. Most of them then
+	// have distinct names.
+	legalLines = 3000
 	// heldTime is how long a client waits before it completes a header section. It
 	// is within the 3 s that a configuration allows.
 	heldTime = time.Second
@@ -175,14 +178,16 @@
 }
 
 // legalHead returns a complete header section of legalHeadBytes that has the given
-// number of header lines with empty values, as many of them with distinct names as
-// the size allows. The last line is filled up to the size.
-func legalHead(path string, lines int) string {
+// number of header lines, those of the start included. Most have empty values, and
+// as many of them have distinct names as the size allows. The last line is filled
+// up to the size.
+func legalHead(start string, lines int) string {
 	const nameBytes = "abcdefghijklmnopqrstuvwxyz0123456789!$%&'*+-.^_`|~"
 	var text strings.Builder
-	text.WriteString(requestLine(path))
-	for i := 2; i < lines; i++ {
-		room := (legalHeadBytes - text.Len()) / (lines - i + 1)
+	text.WriteString(start)
+	const lastLine = "z: \r\n\r\n"
+	for i := strings.Count(start, "\n"); i < lines; i++ {
+		room := (legalHeadBytes - len(lastLine) - text.Len()) / (lines - i)
 		switch n := len(nameBytes); {
 		case i < n || room <= len("a:\r\n"):
 			text.WriteString(nameBytes[i%n:i%n+1] + ":\r\n")
@@ -192,7 +197,7 @@
 			text.WriteString("x" + nameBytes[i/n%n:i/n%n+1] + nameBytes[i%n:i%n+1] + ":\r\n")
 		}
 	}
-	filler := legalHeadBytes - text.Len() - len("z: \r\n\r\n")
+	filler := legalHeadBytes - text.Len() - len(lastLine)
 	text.WriteString("z: " + strings.Repeat("z", filler) + "\r\n\r\n")
 	return text.String()
 }
@@ -201,9 +206,9 @@
 func shortLines(path string) []attack {
 	head := requestLine(path) + numberedLines(measuredLines, "h#:\r\n")
 	return []attack{
-		repeat(head + "\r\n"),
 		repeatHeld(head),
-		repeat(legalHead(path, 3000)),
+		repeatHeld(strings.TrimSuffix(legalHead(requestLine(path), legalLines), "\r\n")),
+		repeat(head + "\r\n"),
 	}
 }
 
@@ -274,7 +279,7 @@
 		trickle(requestLine(path) + numberedLines(measuredLines, "h#:\r\n")),
 		trickle(requestLine(path)),
 		trickle(""),
-		trickle(strings.TrimSuffix(legalHead(path, 3000), "\r\n")),
+		trickle(strings.TrimSuffix(legalHead(requestLine(path), legalLines), "\r\n")),
 	}
 }
 
