internal/caller: end the earlier reader before a call is tried again

What targets saw: a second target got a body with a piece missing, and with the end of the body marked as complete if it was sent in chunks.

Cause: it was checked that all that had been read of the body was kept, and only then, after the backoff, the reader of the earlier try was ended. In between, the transport of that try could read more than is kept: it reads once more before it notices that its connection is closed. The second target got what was kept and then the bytes after the gap.

Change: the earlier reader ends at the moment of the check, after the backoff.

--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -45,7 +45,8 @@
 		h.options.Log.Info().Str("call", c.id).Str("service", c.service.Name).Err(errRetryBudgetSpent).Msg("caller: no retry")
 		return false
 	}
-	return retrier.Wait(ctx, c.runs, outcome) == nil
+	// The last try's transport may have read on while this one waited.
+	return retrier.Wait(ctx, c.runs, outcome) == nil && c.body.rewind()
 }
 
 // retryDelay returns how long the caller of a call that was not run should wait
