internal/forwarder: do not cut off an upload at a query

What targets saw: a body that ended early, with an error, after the target had responded before it had read all. Callers without more to send until the response got none.

Cause: a node queries for a call that got no response for 700 ms. The query waits at the other node until the call has a response, so that the result of the query and the response itself arrive at the same time, over two connections. If the result came first, the call's own connection was closed, although the body was still being sent on it.

Change: if the call has a long body and was answered, its own connection gets 300 ms to deliver the response before the result of the query is used, as is done already for responses that a query does not return.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -140,6 +140,8 @@
 	target fireflymoor.Target
 	// sentAt is when the call was sent, or earlier.
 	sentAt time.Time
+	// long is set if the call may still be being sent when its response arrives.
+	long bool
 }
 
 // resolution is the state of a call as its target's node reports it.
@@ -159,6 +161,7 @@
 	query := stateQuery{
 		target: target,
 		sentAt: time.Now(),
+		long:   sender.IsLong(in),
 	}
 	sendContext, cancel := context.WithCancelCause(ctx)
 	out := sender.Prepare(sendContext, in, target.Address, in.Body, in.ContentLength)
@@ -209,7 +212,9 @@
 	for ctx.Err() == nil && !settled.Load() {
 		r, err := f.queryState(ctx, query)
 		if err == nil && r.state != registrar.Running {
-			if r.inTransit() {
+			// The call's own connection is closed when the call is resolved over
+			// another, which cuts off a body that is still being sent on it.
+			if r.inTransit() || query.long && r.state == registrar.Answered {
 				waiter.Pause(ctx, transitTime)
 			}
 			if !settled.CompareAndSwap(false, true) {
--- a/internal/runner/call_test.go
+++ b/internal/runner/call_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,18 +53,22 @@
 	refused  string
 }
 
-func newCallPath(b testing.TB, serve http.HandlerFunc) callPath {
-	targetServer := httptest.NewServer(serve)
-	b.Cleanup(targetServer.Close)
+// newCallPath returns the paths to targets that serve calls with the given functions.
+func newCallPath(b testing.TB, serve ...http.HandlerFunc) callPath {
 	log := zerolog.New(diode.NewWriter(io.Discard, maxQueuedLogLines, 0, func(int) {}))
 	dial := dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry()))
 	registry := target.NewRegistry("far", time.Hour, log, func([]*messenger.Target, []*messenger.Departure) {}, func(context.Context) error { return nil })
-	registry.Announce(target.Announcement{
-		ID:      "target",
-		Service: "service",
-		Address: targetServer.Listener.Addr().String(),
-		Slots:   1000,
-	}, time.Now())
+	var targetServer *httptest.Server
+	for i := range serve {
+		targetServer = httptest.NewServer(serve[i])
+		b.Cleanup(targetServer.Close)
+		registry.Announce(target.Announcement{
+			ID:      "target" + strconv.Itoa(i),
+			Service: "service",
+			Address: targetServer.Listener.Addr().String(),
+			Slots:   1000,
+		}, time.Now())
+	}
 	local := target.NewServer(registry, annotator.NewDialect(), dial)
 	nodePacker := packer.New("far")
 	farAddress := serveHandler(b, nodePacker.Handler(receiver.New(func(boot uint64) bool { return boot == 1 }, local, registrar.New(), log)))
@@ -76,7 +81,7 @@
 			Node:    node,
 			Dialect: annotator.NewDialect(),
 			Viewer: &fixedViewer{
-				view: newSingleTargetView(address),
+				view: newTargetView(address, len(serve)),
 			},
 			Balancer:    balancer.NewTwoChoices(),
 			Forwarder:   forwarder.New(node, local, forwarder.NewRemote(dial, nodePacker)),
@@ -98,7 +103,8 @@
 	}
 }
 
-func newSingleTargetView(address string) fireflymoor.View {
+// newTargetView returns a view of a node's targets.
+func newTargetView(address string, targets int) fireflymoor.View {
 	configuration := fireflymoor.NewConfiguration("team",
 		[]fireflymoor.Service{{
 			Name:  "service",
@@ -111,22 +117,26 @@
 			Timeout:    10 * time.Second,
 			Retries:    2,
 			Idempotent: []string{http.MethodGet, http.MethodPut},
-			MaxBody:    1 << 20,
+			MaxBody:    8 << 20,
 		}},
 		fireflymoor.Limits{
 			RetryBudget: 20,
 			EjectShare:  30,
 		})
-	return fireflymoor.NewView(configuration.WithNumber(1), []fireflymoor.Target{{
-		ID:      "far/target",
-		Service: "service",
-		Node:    "far",
-		Boot:    1,
-		Zone:    "zone",
-		Team:    "team",
-		Address: address,
-		Slots:   1000,
-	}})
+	all := make([]fireflymoor.Target, targets)
+	for i := range all {
+		all[i] = fireflymoor.Target{
+			ID:      "far/target" + strconv.Itoa(i),
+			Service: "service",
+			Node:    "far",
+			Boot:    1,
+			Zone:    "zone",
+			Team:    "team",
+			Address: address,
+			Slots:   1000,
+		}
+	}
+	return fireflymoor.NewView(configuration.WithNumber(1), all)
 }
 
 func serveHandler(b testing.TB, handler http.Handler) string {
@@ -135,6 +145,9 @@
 		b.Fatal(err)
 	}
 	s := newServer(handler)
+	s.Protocols = &http.Protocols{}
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetUnencryptedHTTP2(true) // as on the callers' port
 	go func() { _ = s.Serve(listener) }()
 	b.Cleanup(func() { _ = s.Close() })
 	return listener.Addr().String()
--- a/internal/runner/early_answer_test.go
+++ b/internal/runner/early_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/fireflymoor/fireflymoor/internal/annotator"
 )
 
 const (
@@ -41,6 +44,13 @@
 	chunked bool
 	// answer is the number of bytes of the target's response.
 	answer int
+	// status is the status of the target's response if it is not 200, and length the
+	// number of bytes of the body if it is not uploadBytes.
+	status, length int
+	// deadline is the time for the call in milliseconds, or 0.
+	deadline int
+	// expect is set if the caller asks whether to continue with the body.
+	expect bool
 }
 
 func (u upload) name() string {
@@ -56,10 +66,16 @@
 	conn, err := net.Dial("tcp", address)
 	is.NoErr(err)
 	is.NoErr(conn.SetDeadline(time.Now().Add(uploadTimeout)))
-	framing := fmt.Sprintf("Content-Length: %d", uploadBytes)
+	framing := fmt.Sprintf("Content-Length: %d", cmp.Or(u.length, uploadBytes))
 	if u.chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
+	if u.deadline > 0 {
+		framing += fmt.Sprintf("\r\n%s: %d", annotator.Deadline, u.deadline)
+	}
+	if u.expect {
+		framing += "\r\nExpect: 100-continue"
+	}
 	_, err = fmt.Fprintf(conn, "%s /x?answer=%d HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n", u.method, u.answer, framing)
 	is.NoErr(err)
 	return conn
@@ -87,6 +103,12 @@
 	}
 }
 
+// sendAll sends the rest of the content and the end of the upload.
+func (u upload) sendAll(is *is.I, to io.Writer, content []byte) {
+	u.send(is, to, content)
+	u.end(is, to)
+}
+
 // TestEarlyAnswer guards against uploads that reach a target with pieces missing:
 // after the target had answered early, the server discarded what the target had yet
 // to read. The caller must get the response before it has sent all, and the target
@@ -147,7 +169,7 @@
 	reader := bufio.NewReader(conn)
 	response, err := http.ReadResponse(reader, nil)
 	is.NoErr(err)
-	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(response.StatusCode, cmp.Or(u.status, http.StatusOK))
 	body, err := io.ReadAll(response.Body)
 	is.NoErr(err)
 	is.Equal(len(body), u.answer)
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -130,7 +130,7 @@
 			c.abort()
 		}
 	}
-	if !mayBeLong(request) {
+	if !IsLong(request) {
 		write()
 		return
 	}
@@ -142,9 +142,9 @@
 	}()
 }
 
-// mayBeLong reports whether the body of a request may be too long to be written
+// IsLong reports whether the body of a request may be too long to be written
 // before the response is read.
-func mayBeLong(request *http.Request) bool {
+func IsLong(request *http.Request) bool {
 	return request.ContentLength < 0 || request.ContentLength > maxInlineBody
 }
 
--- a/internal/sender/transport.go
+++ b/internal/sender/transport.go
@@ -106,7 +106,7 @@
 		}
 		return nil, err
 	}
-	if mayBeLong(request) {
+	if IsLong(request) {
 		response.Request = request.WithContext(context.WithValue(ctx, sentKey{}, c.sent))
 	}
 	response.Body = &body{
