internal/caller: do not cut off an upload at a failed response

What targets saw: a target that responded with a server error before it had read all of a long upload, to a call that may be repeated, got no more of it.

Cause: the failed response was read and closed before it was checked whether the call could be sent to another target. Closing it closes the connection to the target. With more than 64 KiB of the body read it could not be sent again, so that the failed response went to the caller all the same.

Change: a failed response is closed only once another target is tried.

Evidence: TestEarlyFailure failed before (the four cases with PUT: 106,496 of 524,288 bytes, unexpected EOF).

--- a/internal/caller/replace.go
+++ b/internal/caller/replace.go
@@ -26,7 +26,12 @@
 	if !h.bufferFailedResponse(c, response) {
 		return false
 	}
-	return h.mayRetry(ctx, c, fireflymoor.Unknown, errTargetFailed)
+	if !h.mayRetry(ctx, c, fireflymoor.Unknown, errTargetFailed) {
+		return false
+	}
+	_ = response.Body.Close()
+	response.Body = io.NopCloser(response.Body)
+	return true
 }
 
 // hasTimeForTry reports whether a call has time for a further try.
@@ -36,8 +41,8 @@
 }
 
 // bufferFailedResponse reads and keeps a failed response. It reports false if
-// the body is too long or its read fails; the response can then still be read
-// from its start.
+// the body is too long or its read fails. The response can still be read from its
+// start, and its request is still being sent until the response is closed.
 func (h *Handler) bufferFailedResponse(c *call, response *http.Response) bool {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxKeptBody+1))
 	source := response.Body
@@ -48,8 +53,10 @@
 		}
 		return false
 	}
-	_ = source.Close()
-	response.Body = io.NopCloser(bytes.NewReader(body))
+	response.Body = &readCloser{
+		Reader: bytes.NewReader(body),
+		Closer: source,
+	}
 	c.failedResponse = response
 	return true
 }
