internal/sender: send the rest of a request after its caller has left

What targets saw: the last bytes of an upload were missing, with an error, if the target had responded before it had read all and the caller left after it had sent all.

Cause: the server of net/http notices that a caller has left once it has read the body to its end, and cancels the context of the call. That closed the connection to the target, also if its response had come and only the rest of the request was yet to be written.

Change: after the response the cancellation of the context ends the sending no longer, but its deadline does. If the caller leaves before it has sent all, the reading of the body fails.

Evidence: TestCancelAfterEarlyResponse failed before, over connections without buffers. It was not seen over the loopback (runner.TestCallerLeavesAfterUpload, and 160 uploads of other lengths), whose buffers take the rest at once.

--- a/internal/sender/transport.go
+++ b/internal/sender/transport.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -95,7 +96,13 @@
 	if err != nil {
 		return nil, errors.Mark(err, errNotSent)
 	}
-	stop := context.AfterFunc(ctx, c.abort)
+	var responded atomic.Bool
+	stop := context.AfterFunc(ctx, func() {
+		if responded.Load() && IsLong(request) {
+			awaitSent(ctx, c.sent)
+		}
+		c.abort()
+	})
 	c.send(t.packed(request))
 	response, err := t.read(c, request)
 	if err != nil {
@@ -106,6 +113,7 @@
 		}
 		return nil, err
 	}
+	responded.Store(true)
 	if IsLong(request) {
 		response.Request = request.WithContext(context.WithValue(ctx, sentKey{}, c.sent))
 	}
@@ -127,15 +135,33 @@
 type sentKey struct{}
 
 // AwaitSent waits until the request of a response has been sent, in full or as far
-// as possible, or its context is done. A peer that responds before it has read a
-// long request may read the rest afterwards. Closing the response earlier ends the
-// sending.
+// as possible, or the deadline of its context has passed. A peer that responds before
+// it has read a long request may read the rest afterwards. Closing the response earlier
+// ends the sending.
 func AwaitSent(response *http.Response) {
 	if sent := sending(response); sent != nil {
-		select {
-		case <-sent:
-		case <-response.Request.Context().Done():
-		}
+		awaitSent(response.Request.Context(), sent)
+	}
+}
+
+// awaitSent waits until sent is closed or the deadline of ctx has passed. Its
+// cancellation alone does not end the wait: a caller may leave once it has sent all and
+// got the response. If it leaves before it has sent all, the sending fails.
+func awaitSent(ctx context.Context, sent <-chan struct{}) {
+	select {
+	case <-sent:
+		return
+	case <-ctx.Done():
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return
+	}
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-sent:
+	case <-timer.C:
 	}
 }
 
