internal/receiver: answer callers that wait before they send more

What callers saw: no response, although a target had closed its connection or the time for the call had passed, as long as they sent no more of a long body.

Cause: unless full duplex is enabled, the server of net/http reads up to 256 KiB of an unread body before it writes the head of a response, and waits for the caller meanwhile. It was enabled only for responses that came while the request was still being sent.

Change: it is enabled for all requests that may be long, as soon as they are forwarded.

Evidence: TestStalledUploadIsRefused failed before with i/o timeouts after 5 s: the calls whose time had passed, and those that had been sent to a second node.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -20,6 +20,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
 	"github.com/fireflymoor/fireflymoor/internal/claimer"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
+	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
 )
@@ -231,6 +232,7 @@
 			outcome = fireflymoor.Unknown
 		}
 		c.conclude(ctx, outcome)
+		receiver.RespondAtOnce(w, c.request)
 		h.refuseWithDelay(w, c.id, failureStatus(ctx, c, outcome), outcome, callerReason(ctx, c, outcome, err), err.Error(), retryDelay(ctx, c.route, outcome))
 		return
 	}
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -58,6 +58,7 @@
 	response.Header.Del(annotator.CallID)
 	response.Header.Del(annotator.Outcome)
 	h.options.Dialect.WriteResponse(response.Header, c.id)
+	receiver.RespondAtOnce(w, c.request)
 	receiver.Copy(w, response)
 }
 
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -112,6 +112,7 @@
 	target := fireflymoor.Target{
 		ID: request.Header.Get(annotator.TargetID),
 	}
+	RespondAtOnce(w, request)
 	response, outcome, err := r.forwarder.Forward(ctx, target, request)
 	if err != nil {
 		if outcome == fireflymoor.NotRun {
--- a/internal/receiver/response.go
+++ b/internal/receiver/response.go
@@ -46,20 +46,25 @@
 	}
 }
 
+// RespondAtOnce makes the server leave the body of a long request alone until its
+// response has been written. Otherwise it reads and discards a part of the body before
+// that, while another part may be being sent to a target, and waits for callers that
+// wait for their response before they send more.
+func RespondAtOnce(w http.ResponseWriter, request *http.Request) {
+	if sender.IsLong(request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+}
+
 // Copy writes a target's response to w. If the body cannot be copied in full,
 // it panics with http.ErrAbortHandler, so that the connection is aborted and
 // the client does not take the truncated response for complete.
 //
 // If the target responded before it had the whole request, Copy sends it the rest
-// before it returns, as the server discards the rest afterwards.
+// before it returns, as the server discards the rest afterwards. RespondAtOnce must have
+// been called.
 func Copy(w http.ResponseWriter, response *http.Response) {
-	controller := http.NewResponseController(w)
 	early := sender.IsSending(response)
-	if early {
-		// Otherwise the server discards a part of the request's body before it
-		// writes the response, while another part is being sent to the target.
-		_ = controller.EnableFullDuplex()
-	}
 	copyHeader(w.Header(), response.Header)
 	if _, ok := response.Header["Content-Type"]; !ok {
 		w.Header()["Content-Type"] = nil // the server would guess one
@@ -72,7 +77,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if early {
-		_ = controller.Flush()
+		_ = http.NewResponseController(w).Flush()
 		sender.AwaitSent(response)
 	}
 }
