--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,16 +79,21 @@
 	lock           sync.Mutex
 	transports     map[string]*sender.Transport
 	queryTransport *sender.Transport
+	// options are those of all transports.
+	options []sender.Option
 }
 
-// NewRemote returns a new Remote. It sends headers that packer has packed.
-func NewRemote(dialer *dialer.Dialer, packer *packer.Packer) *Remote {
-	queryTransport := sender.NewTransport(dialer.TrafficDialFunc(dialTimeout), 0, sender.WithPacker(packer))
+// NewRemote returns a new Remote. It sends headers that packer has packed. The options
+// apply to the transports to all nodes.
+func NewRemote(dialer *dialer.Dialer, packer *packer.Packer, options ...sender.Option) *Remote {
+	options = append([]sender.Option{sender.WithPacker(packer)}, options...)
+	queryTransport := sender.NewTransport(dialer.TrafficDialFunc(dialTimeout), 0, options...)
 	return &Remote{
 		dialer:         dialer,
 		packer:         packer,
 		transports:     map[string]*sender.Transport{},
 		queryTransport: queryTransport,
+		options:        options,
 	}
 }
 
@@ -99,7 +104,8 @@
 	defer f.lock.Unlock()
 	t := f.transports[address]
 	if t == nil {
-		t = sender.NewTransport(f.dialer.TrafficDialFunc(dialTimeout), idleTimeout, sender.WithResponseMatcher(sameCall), sender.WithPacker(f.packer))
+		options := append([]sender.Option{sender.WithResponseMatcher(sameCall)}, f.options...)
+		t = sender.NewTransport(f.dialer.TrafficDialFunc(dialTimeout), idleTimeout, options...)
 		f.transports[address] = t
 	}
 	return t
@@ -140,6 +146,8 @@
 	target fireflymoor.Target
 	// sentAt is when the call was sent, or earlier.
 	sentAt time.Time
+	// long is set if the call may still be being sent when its response arrives.
+	long bool
 }
 
 // resolution is the state of a call as its target's node reports it.
@@ -159,6 +167,7 @@
 	query := stateQuery{
 		target: target,
 		sentAt: time.Now(),
+		long:   sender.IsLong(in),
 	}
 	sendContext, cancel := context.WithCancelCause(ctx)
 	out := sender.Prepare(sendContext, in, target.Address, in.Body, in.ContentLength)
@@ -209,7 +218,9 @@
 	for ctx.Err() == nil && !settled.Load() {
 		r, err := f.queryState(ctx, query)
 		if err == nil && r.state != registrar.Running {
-			if r.inTransit() {
+			// The call's own connection is closed when the call is resolved over
+			// another, which cuts off a body that is still being sent on it.
+			if r.inTransit() || query.long && r.state == registrar.Answered {
 				waiter.Pause(ctx, transitTime)
 			}
 			if !settled.CompareAndSwap(false, true) {
