Define tenants, their keys, and bulk routes in configurations

A configuration can now have sections [tenant NAME] with hashes of keys, a priority, a rate, a burst and a weight, and routes can be exempt from keys or bulk.

The rendered form may have 2 MiB, as 20,000 keys take 1.44 MB, and the compressor's window holds two of them.

--- a/configuration.go
+++ b/configuration.go
@@ -67,6 +67,10 @@
 	Priority int
 	// MaxBody is the maximum size of a call's body, in bytes.
 	MaxBody int64
+	// AuthExempt reports whether calls need no key although there are tenants.
+	AuthExempt bool
+	// Bulk reports whether the route's responses are large and can wait.
+	Bulk bool
 }
 
 // MayRepeat reports whether a call with this method may be sent again after a
@@ -143,6 +147,11 @@
 	// byHost holds the indexes in routes by host in lower case, the most specific
 	// route first.
 	byHost map[string][]int
+	// tenantsByName and tenantsByKey hold the indexes in tenants by name and by the
+	// hash of each key.
+	tenants       []Tenant
+	tenantsByName map[string]int
+	tenantsByKey  map[[32]byte]int
 }
 
 // NewConfiguration returns a new Configuration of team.
--- a/internal/compressor/compressor.go
+++ b/internal/compressor/compressor.go
@@ -17,7 +17,7 @@
 	// windowBytes is the size of the encoder's window. It holds a base and a content
 	// of the maximum size of a template: a part of the base that lies further back
 	// than the window cannot be referred to.
-	windowBytes = 2 << 20
+	windowBytes = 4 << 20
 )
 
 // Pack compresses content with base as the dictionary. An empty base means no
--- a/internal/compressor/compressor_test.go
+++ b/internal/compressor/compressor_test.go
@@ -31,7 +31,7 @@
 // node forwards it over a link of 1 Mbit/s.
 func TestSmallChangeIsSmall(t *testing.T) {
 	const maxBytes = 2_000
-	for _, routes := range []int{100, 1000, 2400, 4000, 6000} {
+	for _, routes := range []int{100, 1000, 2400, 4000, 6000, 11_000} {
 		is := is.New(t)
 		base := template(routes, nil)
 		for _, changed := range []map[int]bool{
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -17,7 +17,7 @@
 const (
 	// maxRequestBytes bounds the size of a request body. It has room for a template
 	// and values of the maximum size with JSON escapes.
-	maxRequestBytes = 2 << 20
+	maxRequestBytes = 4 << 20
 	// allTeams stands for the team of the token that authorizes all requests.
 	allTeams = "*"
 )
--- a/pkg/parser/cache.go
+++ b/pkg/parser/cache.go
@@ -23,7 +23,7 @@
 // Parse implements fireflymoor.Parser.
 func (p *cachingParser) Parse(team, text string) (fireflymoor.Configuration, error) {
 	if c, ok := p.parseSections(text); ok {
-		return fireflymoor.NewConfiguration(team, c.services, c.routes, c.limits), nil
+		return c.configuration(team), nil
 	}
 	return p.full.Parse(team, text)
 }
--- a/pkg/parser/document.go
+++ b/pkg/parser/document.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -225,6 +226,25 @@
 	return n
 }
 
+// Float returns the value of key as a number, or fallback if it is missing, empty or
+// malformed. It notes a fault if the value is malformed or not between minValue and
+// maxValue.
+func (s *Section) Float(key string, fallback, minValue, maxValue float64) float64 {
+	text := s.String(key, "")
+	if text == "" {
+		return fallback
+	}
+	number, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		s.Fault(key, fmt.Sprintf("%q is not a number", text))
+		return fallback
+	}
+	if !(number >= minValue && number <= maxValue) {
+		s.Fault(key, fmt.Sprintf("%g is not between %g and %g", number, minValue, maxValue))
+	}
+	return number
+}
+
 // Duration returns the value of key as a duration, or fallback if it is missing,
 // empty or malformed. It notes a fault if the value is malformed or not between
 // minValue and maxValue.
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -17,9 +17,10 @@
 
 // Limits and defaults of a configuration's values. MaxText, MaxBodyBytes,
 // MaxHeadBytes and DefaultBody are in bytes; DefaultBudget and DefaultEject are
-// in percent.
+// in percent; MaxRate is in calls a second, and MaxBurst in calls. MaxText is enough
+// for 20,000 keys of tenants, which take 72 bytes each.
 const (
-	MaxText        = 1 << 20
+	MaxText        = 2 << 20
 	MaxSlots       = 10_000
 	MaxQueue       = 100_000
 	MaxRetries     = 100
@@ -29,6 +30,9 @@
 	MaxHeadBytes   = 1 << 20
 	MaxPriority    = 1_000
 	MaxConnections = 1_000_000
+	MaxRate        = 1e9
+	MaxBurst       = 1e9
+	MaxWeight      = 1e6
 	DefaultSlots   = 20
 	DefaultQueue   = 40
 	DefaultTimeout = 10 * time.Second
@@ -36,6 +40,7 @@
 	DefaultBody    = 1 << 20
 	DefaultBudget  = 20
 	DefaultEject   = 30
+	DefaultWeight  = 1
 	maxPercent     = 100
 )
 
@@ -64,13 +69,14 @@
 	if err := d.Err(); err != nil {
 		return fireflymoor.Configuration{}, err
 	}
-	return fireflymoor.NewConfiguration(team, content.services, content.routes, content.limits), nil
+	return content.configuration(team), nil
 }
 
 // content is the content of a text, or of one section.
 type content struct {
 	services []fireflymoor.Service
 	routes   []fireflymoor.Route
+	tenants  []fireflymoor.Tenant
 	limits   fireflymoor.Limits
 	// hasLimits reports whether the text has a section of limits.
 	hasLimits bool
@@ -86,10 +92,20 @@
 	}
 }
 
+// configuration returns the configuration of a team with the content.
+func (c content) configuration(team string) fireflymoor.Configuration {
+	configuration := fireflymoor.NewConfiguration(team, c.services, c.routes, c.limits)
+	if len(c.tenants) == 0 {
+		return configuration
+	}
+	return configuration.WithTenants(c.tenants)
+}
+
 // merge returns the content with that of a section added.
 func (c content) merge(section content) content {
 	c.services = append(c.services, section.services...)
 	c.routes = append(c.routes, section.routes...)
+	c.tenants = append(c.tenants, section.tenants...)
 	if section.hasLimits {
 		c.limits = section.limits
 	}
@@ -106,11 +122,13 @@
 			c.services = append(c.services, readService(s, name))
 		case kind == "route" && name != "":
 			c.routes = append(c.routes, readRoute(s, name))
+		case kind == "tenant" && name != "":
+			c.tenants = append(c.tenants, readTenant(s, name))
 		case s.Name() == "limits":
 			c.limits = readLimits(s)
 			c.hasLimits = true
 		default:
-			s.Fault("", "unknown section; known are [service NAME], [route NAME] and [limits]")
+			s.Fault("", "unknown section; known are [service NAME], [route NAME], [tenant NAME] and [limits]")
 		}
 		s.Close()
 	}
@@ -153,6 +171,8 @@
 		MaxBody:    int64(s.Int("max-body", -1, 0, MaxBodyBytes)),
 		Objective:  s.Duration("objective", 0, 0, MaxTimeout),
 		Priority:   s.Int("priority", 0, 0, MaxPriority),
+		AuthExempt: s.Bool("auth-exempt", false),
+		Bulk:       s.Bool("bulk", false),
 	}
 	if len(route.Split) == 0 {
 		route.Service = s.Required("service")
@@ -201,7 +221,7 @@
 }
 
 // checkReferences notes a fault for each route that leads to an unknown service or
-// matches the same calls as another one.
+// matches the same calls as another one, and for each key that several tenants have.
 func (c content) checkReferences(d *Document) {
 	services := map[string]bool{}
 	for i := range c.services {
@@ -222,6 +242,7 @@
 		}
 		matches[match] = r.Name
 	}
+	c.checkKeys(d)
 }
 
 func loadOptions() ini.LoadOptions {
