Authenticate calls by the keys of tenants

If the configuration has tenants, a call without a valid key is refused with 401 before it leaves the node, unless its route is exempt or a target of the instance makes it while it runs another call: then it runs for the parent's tenant. The target gets the tenant's name and never the key, and the tenant's priority replaces that of the route.

A key that the version in force lacks may have been added in a newer one. Package verifier bounds these queries and the calls that wait for them.

Keys are looked up again before each try, and by a short id after a wait in the queue of the target's node, so that a key is refused once it was withdrawn there. Claims on idempotency keys are separate for each tenant.

--- a/dialect.go
+++ b/dialect.go
@@ -14,6 +14,9 @@
 	Parent string
 	// TimeLeft is how long the caller will wait, or 0 if that is not given.
 	TimeLeft time.Duration
+	// Key is the key that the caller sent, or empty if it sent none or several. It
+	// must not be logged.
+	Key string
 }
 
 // A Dispatch is the metadata that is sent to a target with a call.
@@ -24,6 +27,8 @@
 	TimeLeft time.Duration
 	// Origin is the service of the instance where the call originated, or empty.
 	Origin string
+	// Tenant is the name of the tenant on whose behalf the call is made, or empty.
+	Tenant string
 }
 
 // A Verdict is what a target's response implies for the call.
@@ -56,6 +61,9 @@
 	// ReadCall reads the metadata of a caller's call. It removes from the header
 	// the fields that only the system may write.
 	ReadCall(header http.Header) (CallMetadata, error)
+	// RemoveKey removes the fields of a call's header that can carry a key. It is not
+	// called without tenants, as callers may then use the fields for other purposes.
+	RemoveKey(header http.Header)
 	// WriteDispatch writes the metadata for a target to the header of the request
 	// to it.
 	WriteDispatch(header http.Header, dispatch Dispatch)
--- a/internal/annotator/annotator.go
+++ b/internal/annotator/annotator.go
@@ -22,6 +22,8 @@
 	CallID = "Fireflymoor-Call-Id"
 	// Reason is the reason for which a call was refused.
 	Reason = "Fireflymoor-Reason"
+	// Key is the key that identifies the tenant that makes a call.
+	Key = "Fireflymoor-Key"
 	// IdempotencyKey identifies a call across all resends by its caller.
 	IdempotencyKey = "Idempotency-Key"
 	// Replayed marks a stored response to an earlier call with the same
@@ -54,13 +56,18 @@
 	// Load is the number of calls in flight and waiting at a target as a multiple
 	// of its slots. It is usually above 1 while calls wait.
 	Load = "Fireflymoor-Load"
+	// Tenant is the name of the tenant on whose behalf a call is made. Targets get it
+	// too.
+	Tenant = "Fireflymoor-Tenant"
+	// KeyID is the id of the key with which a call was made.
+	KeyID = "Fireflymoor-Key-Id"
 	// Packed combines most of these headers and other headers in one header.
 	Packed = "Ffm"
 )
 
 var (
 	// internalHeaders are the headers between nodes.
-	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, Load, Packed}
+	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, Load, Tenant, KeyID, Packed}
 	// hopByHop are the headers that apply to a single connection only.
 	hopByHop = []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
@@ -146,6 +153,15 @@
 	return min(limit, time.Duration(milliseconds)*time.Millisecond), true
 }
 
+// SetOrRemove sets a header to a value, or removes it if the value is empty.
+func SetOrRemove(h http.Header, name, value string) {
+	if value == "" {
+		h.Del(name)
+		return
+	}
+	h.Set(name, value)
+}
+
 // SetLoad writes a target's load to the header.
 func SetLoad(h http.Header, load float64) {
 	h.Set(Load, strconv.FormatFloat(load, 'f', 2, 64))
--- a/internal/annotator/dialect.go
+++ b/internal/annotator/dialect.go
@@ -27,22 +27,32 @@
 
 // ReadCall implements fireflymoor.Dialect.
 func (dialect) ReadCall(header http.Header) (fireflymoor.CallMetadata, error) {
+	metadata := fireflymoor.CallMetadata{}
+	if keys := header[Key]; len(keys) == 1 {
+		metadata.Key = keys[0]
+	}
 	text := header.Get(Deadline)
 	if text == "" {
-		return fireflymoor.CallMetadata{}, nil
+		return metadata, nil
 	}
 	milliseconds, err := strconv.ParseInt(text, 10, 32)
 	if err != nil || milliseconds < 0 {
-		return fireflymoor.CallMetadata{}, errInvalidDeadline
+		return metadata, errInvalidDeadline
 	}
-	return fireflymoor.CallMetadata{
-		TimeLeft: max(time.Duration(milliseconds)*time.Millisecond, time.Nanosecond),
-	}, nil
+	metadata.TimeLeft = max(time.Duration(milliseconds)*time.Millisecond, time.Nanosecond)
+	return metadata, nil
 }
 
-// WriteDispatch implements fireflymoor.Dialect. It writes nothing, because the
-// header already contains the call's id and deadline.
-func (dialect) WriteDispatch(http.Header, fireflymoor.Dispatch) {}
+// RemoveKey implements fireflymoor.Dialect.
+func (dialect) RemoveKey(header http.Header) {
+	header.Del(Key)
+}
+
+// WriteDispatch implements fireflymoor.Dialect. The header already contains the call's
+// id and deadline.
+func (dialect) WriteDispatch(header http.Header, dispatch fireflymoor.Dispatch) {
+	SetOrRemove(header, Tenant, dispatch.Tenant)
+}
 
 // SameCall implements fireflymoor.Dialect. It accepts every response, because
 // targets do not send back the id of the call.
@@ -66,6 +76,9 @@
 func (dialect) WriteRefusal(header http.Header, refusal fireflymoor.Refusal) {
 	header.Set(Outcome, refusal.Outcome.String())
 	header.Set(Reason, refusal.Reason)
+	if refusal.Status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", Key)
+	}
 	if refusal.RetryAfter > 0 {
 		seconds := (refusal.RetryAfter + time.Second - 1) / time.Second
 		header.Set("Retry-After", strconv.Itoa(int(seconds)))
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -54,8 +54,14 @@
 	// empty.
 	Origin string
 	// IsRunning reports whether a target of this instance is running the call with
-	// an id.
-	IsRunning func(id string) bool
+	// an id, and returns the name of the tenant on whose behalf it runs, or "".
+	IsRunning func(id string) (tenant string, running bool)
+	// Newest returns the number of a version at least as new as any that was accepted
+	// before the call of Newest, or an error if that is not known. If it is nil, the
+	// version in force is taken for the newest.
+	Newest func(ctx context.Context) (uint64, error)
+	// Quota limits the rates of tenants. If it is nil, there are no limits.
+	Quota Quota
 	// Dialect reads and writes the headers that carry the metadata of calls.
 	Dialect fireflymoor.Dialect
 	// Viewer returns the configuration and targets for routing.
@@ -112,9 +118,8 @@
 	request *http.Request
 	body    *body
 	start   time.Time
-	// nested is set if a target of this instance makes the call while it runs
-	// another.
-	nested bool
+	// identity is on whose behalf the call is made.
+	identity identity
 	// tried holds the ids of the targets that the call was sent to.
 	tried []string
 	// runs counts the tries that a target may have run.
@@ -134,16 +139,15 @@
 	if id == "" {
 		id = uuid.NewString()
 	}
-	view := h.options.Viewer.View()
-	route, status, reason := matchRoute(view, request)
-	switch {
-	case reason != "":
-		h.refuse(w, id, status, fireflymoor.NotRun, reason)
-		return
-	case metadataErr != nil:
-		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, metadataErr.Error())
+	a, refused := h.admit(request, metadata)
+	if refused == nil {
+		refused = h.checkRequest(request, a, metadataErr)
+	}
+	if refused != nil {
+		h.refuseWithDelay(w, id, refused.Status, refused.Outcome, refused.Reason, refused.Reason, refused.RetryAfter)
 		return
 	}
+	route := a.route
 	timeout := route.Timeout
 	if metadata.TimeLeft > 0 {
 		timeout = min(timeout, metadata.TimeLeft)
@@ -153,19 +157,23 @@
 		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, fmt.Sprintf("the idempotency key is not one of 1 to %d bytes", maxKeyBytes))
 		return
 	}
+	if refused = h.checkQuota(a.identity, start); refused != nil {
+		h.refuseWithDelay(w, id, refused.Status, refused.Outcome, refused.Reason, refused.Reason, refused.RetryAfter)
+		return
+	}
 	ctx, cancel := context.WithTimeout(request.Context(), timeout)
 	defer cancel()
-	service, _ := view.Configuration().Service(route.Choose(rand.Float64()))
+	service, _ := a.view.Configuration().Service(route.Choose(rand.Float64()))
 	callBody := newBody(request.Body, request.ContentLength, route.MaxBody)
 	c := &call{
-		id:      id,
-		route:   route,
-		service: service,
-		view:    view,
-		request: outgoingRequest(request, id, h.options.Origin, route),
-		nested:  metadata.Parent != "" && h.options.IsRunning(metadata.Parent),
-		body:    callBody,
-		start:   start,
+		id:       id,
+		route:    route,
+		service:  service,
+		view:     a.view,
+		request:  h.outgoingRequest(request, id, a),
+		identity: a.identity,
+		body:     callBody,
+		start:    start,
 	}
 	h.options.Budget.RecordCall(service.Name, start)
 	if key != "" {
@@ -175,34 +183,20 @@
 	h.serve(ctx, w, c)
 }
 
-// matchRoute returns the route of a request, or the status and reason of a
-// refusal.
-func matchRoute(view fireflymoor.View, request *http.Request) (fireflymoor.Route, int, string) {
-	configuration := view.Configuration()
-	if configuration.Number() == 0 {
-		return fireflymoor.Route{}, http.StatusServiceUnavailable, "no configuration is in force"
-	}
-	route, ok := configuration.Match(request.Host, request.URL.Path)
-	if !ok {
-		return fireflymoor.Route{}, http.StatusNotFound, "no route matches"
-	}
-	if request.ContentLength > route.MaxBody {
-		return fireflymoor.Route{}, http.StatusRequestEntityTooLarge, "the body is too large"
-	}
-	return route, 0, ""
-}
-
 // outgoingRequest returns a copy of a caller's request with the headers that
-// targets' nodes need.
-func outgoingRequest(request *http.Request, id, origin string, route fireflymoor.Route) *http.Request {
+// targets' nodes need, and without its key.
+func (h *Handler) outgoingRequest(request *http.Request, id string, a admission) *http.Request {
 	outgoing := *request
 	outgoing.Header = request.Header.Clone()
 	annotator.CleanRequest(outgoing.Header)
+	if a.view.Configuration().HasTenants() {
+		h.options.Dialect.RemoveKey(outgoing.Header)
+	}
 	outgoing.Header.Set(annotator.CallID, id)
-	if origin != "" {
-		outgoing.Header.Set(annotator.Origin, origin)
+	if h.options.Origin != "" {
+		outgoing.Header.Set(annotator.Origin, h.options.Origin)
 	}
-	if !route.MayRepeat(request.Method) {
+	if !a.route.MayRepeat(request.Method) {
 		outgoing.Header.Set(annotator.Once, "yes")
 	}
 	return &outgoing
@@ -233,7 +227,12 @@
 		}
 		c.conclude(ctx, outcome)
 		receiver.RespondAtOnce(w, c.request)
-		h.refuseWithDelay(w, c.id, failureStatus(ctx, c, outcome), outcome, callerReason(ctx, c, outcome, err), err.Error(), retryDelay(ctx, c.route, outcome))
+		status := failureStatus(ctx, c, outcome, err)
+		retryAfter := time.Duration(0)
+		if status != http.StatusUnauthorized {
+			retryAfter = retryDelay(ctx, c.route, outcome)
+		}
+		h.refuseWithDelay(w, c.id, status, outcome, callerReason(ctx, c, outcome, err), err.Error(), retryAfter)
 		return
 	}
 }
@@ -241,6 +240,9 @@
 // try sends the call to one target and records the result.
 func (h *Handler) try(ctx context.Context, c *call) (*http.Response, fireflymoor.Outcome, error) {
 	now := time.Now()
+	if !h.recheckKey(c) {
+		return nil, fireflymoor.NotRun, errWithdrawn
+	}
 	pick, ok := h.pick(c, now)
 	if !ok {
 		return nil, fireflymoor.NotRun, errors.Wrapf(errNoTarget, "caller: service %s", c.service.Name)
@@ -256,6 +258,7 @@
 	c.request.Header.Set(annotator.TargetID, pick.Target.ID)
 	c.request.Body, c.request.ContentLength = c.body.reader()
 	c.setPriorityHeaders(now)
+	c.setTenantHeaders()
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
 	h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
 	if err != nil {
@@ -292,15 +295,18 @@
 }
 
 // setPriorityHeaders sets the call's rank and the time within which it should
-// be answered. A nested call gets no such time, as its response is useful for
+// be answered. A tenant's priority replaces that of the route. A nested call gets no such time, as its response is useful for
 // as long as its parent runs.
 func (c *call) setPriorityHeaders(now time.Time) {
 	rank := c.route.Priority
-	if c.nested {
+	switch {
+	case c.identity.nested:
 		rank = nestedRank
+	case c.identity.tenant.HasPriority:
+		rank = c.identity.tenant.Priority
 	}
 	c.request.Header.Set(annotator.Rank, strconv.Itoa(rank))
-	if !c.nested && c.route.Objective > 0 {
+	if !c.identity.nested && c.route.Objective > 0 {
 		within := max(c.route.Objective-now.Sub(c.start), time.Millisecond)
 		annotator.SetMilliseconds(c.request.Header, annotator.Objective, within)
 	}
--- a/internal/caller/idempotency.go
+++ b/internal/caller/idempotency.go
@@ -53,6 +53,10 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 	scopedKey := c.view.Configuration().Team() + "\x00" + c.service.Name + "\x00" + key
+	if tenant := c.identity.tenant.Name; tenant != "" {
+		// Without the tenant, a tenant could read the responses of others.
+		scopedKey += "\x00" + tenant
+	}
 	grant, kept, err := h.options.Claims.Claim(ctx, scopedKey, fingerprint(c.request))
 	h.recordClaim(c, grant, err)
 	switch {
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -73,7 +73,7 @@
 	case ctx.Err() != nil:
 		return "the time for the call has passed"
 	}
-	for _, known := range []error{errNoTarget, errBodyNotReplayable, errRetryBudgetSpent, fireflymoor.ErrDraining, fireflymoor.ErrBusy} {
+	for _, known := range []error{errWithdrawn, errNoTarget, errBodyNotReplayable, errRetryBudgetSpent, fireflymoor.ErrDraining, fireflymoor.ErrBusy} {
 		if errors.Is(err, known) {
 			return known.Error()
 		}
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -36,7 +36,7 @@
 	}
 	tryLimit := h.options.RefusalRate.MaxTries(c.service.Name, maxTries)
 	switch {
-	case errors.Is(err, errNoTarget), c.runs > c.route.Retries, len(c.tried) >= tryLimit, !mayRepeat, ctx.Err() != nil:
+	case errors.Is(err, errNoTarget), errors.Is(err, errWithdrawn), c.runs > c.route.Retries, len(c.tried) >= tryLimit, !mayRepeat, ctx.Err() != nil:
 		return false
 	case !c.body.replayable():
 		h.options.Log.Info().Str("call", c.id).Err(errBodyNotReplayable).Msg("caller: no retry")
@@ -70,8 +70,10 @@
 
 // failureStatus returns the HTTP status for a call that got no response from a
 // target.
-func failureStatus(ctx context.Context, c *call, outcome fireflymoor.Outcome) int {
+func failureStatus(ctx context.Context, c *call, outcome fireflymoor.Outcome, err error) int {
 	switch {
+	case outcome == fireflymoor.NotRun && errors.Is(err, errWithdrawn):
+		return http.StatusUnauthorized
 	case c.body.overflowed():
 		return http.StatusRequestEntityTooLarge
 	case c.body.failed() && ctx.Err() == nil:
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -43,6 +43,8 @@
 	annotator.RefusedByTarget: 'a',
 	annotator.Origin:          's',
 	annotator.Load:            'l',
+	annotator.Tenant:          'n',
+	annotator.KeyID:           'k',
 	"Content-Type":            'y',
 	"Date":                    'z',
 	"User-Agent":              'h',
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +32,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/sender"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
+	"github.com/fireflymoor/fireflymoor/internal/verifier"
 	"github.com/fireflymoor/fireflymoor/internal/waiter"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
 	"github.com/fireflymoor/fireflymoor/pkg/renderer"
@@ -50,6 +53,14 @@
 	busyRebuildWindow     = time.Second
 	confirmTimeout        = 1500 * time.Millisecond
 	confirmRetryDelay     = 50 * time.Millisecond
+	// minQueryInterval is the minimum time between two queries for the newest version.
+	// It is queryIntervalPerMember for each member if that is more, so that all nodes
+	// together send at most 200 queries a second while clients use invalid keys
+	// everywhere. Each control replica admits as many.
+	minQueryInterval       = 20 * time.Millisecond
+	queryIntervalPerMember = 5 * time.Millisecond
+	// queryTryTimeout is the time after which another replica is queried.
+	queryTryTimeout = 250 * time.Millisecond
 )
 
 var errNotReporter = errors.New("this process does not collect reports")
@@ -58,12 +69,15 @@
 type node struct {
 	*member
 
-	applier      *applier.Applier
-	reports      *reports
-	targets      *target.Registry
-	tracker      *tracker.Tracker
-	packer       *packer.Packer
-	remote       *forwarder.Remote
+	applier  *applier.Applier
+	reports  *reports
+	targets  *target.Registry
+	tracker  *tracker.Tracker
+	packer   *packer.Packer
+	remote   *forwarder.Remote
+	verifier *verifier.Verifier
+	// members is the number of members of the overlay.
+	members      atomic.Int64
 	claims       *claims
 	view         atomic.Pointer[fireflymoor.View]
 	viewPending  bool
@@ -100,6 +114,9 @@
 		claims:  newClaims(settings, m.client),
 	}
 	n.remote = forwarder.NewRemote(m.dialer, n.packer, sender.WithBudget(m.heads))
+	n.verifier = verifier.New(n.newestVersion, func() time.Duration {
+		return max(time.Duration(n.members.Load())*queryIntervalPerMember, minQueryInterval)
+	})
 	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
 	n.view.Store(&empty)
 	n.targets = target.NewRegistry(settings.Name, settings.Lease, m.log, n.targetsChanged, func(ctx context.Context) error {
@@ -125,6 +142,7 @@
 		Origin:      n.settings.CallerService,
 		Dialect:     n.dialect(),
 		IsRunning:   local.IsRunning,
+		Newest:      n.verifier.Newest,
 		Viewer:      n,
 		Balancer:    balancer.NewTwoChoices(),
 		Forwarder:   forwarder.New(n.settings.Name, local, n.remote),
@@ -348,6 +366,7 @@
 func (n *node) rebuildView() {
 	n.viewPending = false
 	n.lastRebuild = time.Now()
+	n.members.Store(int64(n.coordinator.Announcer().Len()))
 	targets := n.coordinator.Announcer().Targets()
 	view := n.View().WithTargets(targets)
 	n.view.Store(&view)
@@ -395,11 +414,34 @@
 	}
 }
 
-// confirmAt sends a Confirm request to one replica. If the replica did not admit
-// the request, it returns the time to wait before the next attempt, and 0
-// otherwise.
-func (n *node) confirmAt(ctx context.Context, replica loader.Replica) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+// newestVersion returns the number of a version that a quorum confirmed after the call
+// began. It queries the control replicas in random order until one responds.
+func (n *node) newestVersion(ctx context.Context) (uint64, error) {
+	var replicas []loader.Replica
+	if err := n.sequencer.Do(ctx, func() { replicas = slices.Clone(n.replicas()) }); err != nil {
+		return 0, errors.Wrap(err, "node: find the replicas")
+	}
+	rand.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
+	err := errors.New("node: no replica is known")
+	for _, replica := range replicas {
+		var reply *messenger.ConfirmReply
+		reply, err = n.queryConfirmed(ctx, replica, queryTryTimeout)
+		if err == nil && reply.GetLaterMilliseconds() == 0 {
+			return reply.GetNumber(), nil
+		}
+		if err == nil {
+			err = errors.Newf("node: %s did not admit the query", replica.Name)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return 0, err
+}
+
+// queryConfirmed sends a Confirm request to one replica.
+func (n *node) queryConfirmed(ctx context.Context, replica loader.Replica, timeout time.Duration) (*messenger.ConfirmReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply *messenger.ConfirmReply
 	err := n.client.Call(ctx, replica.Address, func(conn drpc.Conn) error {
@@ -407,9 +449,17 @@
 		reply, err = messenger.NewDRPCSourceClient(conn).Confirm(ctx, &messenger.Empty{})
 		return err
 	})
+	return reply, errors.Wrapf(err, "node: confirm at %s", replica.Name)
+}
+
+// confirmAt sends a Confirm request to one replica. If the replica did not admit
+// the request, it returns the time to wait before the next attempt, and 0
+// otherwise.
+func (n *node) confirmAt(ctx context.Context, replica loader.Replica) (time.Duration, error) {
+	reply, err := n.queryConfirmed(ctx, replica, confirmTimeout)
 	if err != nil {
 		n.log.Info().Str("replica", replica.Name).Err(err).Msg("config: not confirmed")
-		return 0, errors.Wrapf(err, "node: confirm at %s", replica.Name)
+		return 0, err
 	}
 	if reply.GetLaterMilliseconds() > 0 {
 		return time.Duration(reply.GetLaterMilliseconds()) * time.Millisecond, nil
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -220,6 +220,13 @@
 	}
 }
 
+// current returns the configuration that was applied last.
+func (r *Registry) current() fireflymoor.Configuration {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.configuration
+}
+
 // Withdraw drops a target that has withdrawn its announcement. It returns
 // ErrUnknown if the target is not announced.
 func (r *Registry) Withdraw(id string) error {
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -33,11 +33,22 @@
 	transport *sender.Transport
 
 	lock sync.Mutex
-	// running counts the calls in progress at the targets by the ids that the
+	// running holds the calls in progress at the targets by the ids that the
 	// callers gave them.
-	running map[string]int
+	running map[string]*runningCalls
 }
 
+// runningCalls are the calls in progress with one id.
+type runningCalls struct {
+	count int
+	// tenant is the name of the tenant of the first of them, or empty.
+	tenant string
+}
+
+// errKeyWithdrawn is the error of a call whose key was withdrawn while it waited for a
+// slot.
+var errKeyWithdrawn = errors.New("the key of the call was withdrawn")
+
 // NewServer returns a new Server that uses dialect for the headers of calls to the
 // targets. The options apply to the transport to the targets.
 func NewServer(registry *Registry, dialect fireflymoor.Dialect, dialer *dialer.Dialer, options ...sender.Option) *Server {
@@ -46,16 +57,20 @@
 		registry:  registry,
 		dialect:   dialect,
 		transport: sender.NewTransport(dialer.TrafficDialFunc(dialTimeout), idleTimeout, options...),
-		running:   map[string]int{},
+		running:   map[string]*runningCalls{},
 	}
 }
 
 // IsRunning reports whether a target of this instance is running the call with
-// an id.
-func (s *Server) IsRunning(id string) bool {
+// an id, and returns the name of the tenant on whose behalf it runs, or "".
+func (s *Server) IsRunning(id string) (tenant string, running bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return s.running[id] > 0
+	calls := s.running[id]
+	if calls == nil {
+		return "", false
+	}
+	return calls.tenant, true
 }
 
 // trackRunning counts a call as running until the returned function is called. It
@@ -65,16 +80,26 @@
 	if err != nil || call.ID == "" {
 		return func() {}
 	}
-	s.addRunning(call.ID, 1)
-	return func() { s.addRunning(call.ID, -1) }
+	s.beginRunning(call.ID, header.Get(annotator.Tenant))
+	return func() { s.endRunning(call.ID) }
+}
+
+func (s *Server) beginRunning(id, tenant string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.running[id] == nil {
+		s.running[id] = &runningCalls{
+			tenant: tenant,
+		}
+	}
+	s.running[id].count++
 }
 
-// addRunning adds by to the number of running calls with an id.
-func (s *Server) addRunning(id string, by int) {
+func (s *Server) endRunning(id string) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.running[id] += by
-	if s.running[id] == 0 {
+	s.running[id].count--
+	if s.running[id].count == 0 {
 		delete(s.running, id)
 	}
 }
@@ -86,6 +111,8 @@
 		return nil, fireflymoor.NotRun, errors.Wrapf(err, "target %s: find", target.ID)
 	}
 	ticket := readTicket(in.Header)
+	keyID := in.Header.Get(annotator.KeyID)
+	configuration := s.registry.current()
 	if err := t.limiter.Acquire(ctx, ticket); err != nil {
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(err, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
 	}
@@ -94,6 +121,10 @@
 		t.limiter.Release(ticket, 0)
 		return nil, fireflymoor.NotRun, errors.Wrapf(ErrUnknown, "target %s: take a slot", target.ID)
 	}
+	if s.keyWithdrawn(keyID, configuration) {
+		t.limiter.Release(ticket, 0)
+		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(errKeyWithdrawn, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
+	}
 	untrack := s.trackRunning(in.Header)
 	release := func() {
 		untrack()
@@ -112,6 +143,17 @@
 	return response, fireflymoor.Answered, nil
 }
 
+// keyWithdrawn reports whether the key with an id was in the configuration in which a
+// call arrived, and is not in the current one. A key that this node has never known may
+// be newer than its configuration.
+func (s *Server) keyWithdrawn(id string, atArrival fireflymoor.Configuration) bool {
+	current := s.registry.current()
+	if id == "" || current.Number() == atArrival.Number() || !current.HasTenants() {
+		return false
+	}
+	return atArrival.HasKeyID(id) && !current.HasKeyID(id)
+}
+
 // readTicket reads the ticket of a call from the headers that the forwarding node
 // set.
 func readTicket(header http.Header) limiter.Ticket {
@@ -128,11 +170,13 @@
 func (s *Server) send(ctx context.Context, t *localTarget, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
 	out := sender.Prepare(ctx, in, t.announcement.Address, in.Body, in.ContentLength)
 	origin := out.Header.Get(annotator.Origin)
+	tenant := out.Header.Get(annotator.Tenant)
 	annotator.CleanRequest(out.Header)
 	s.dialect.WriteDispatch(out.Header, fireflymoor.Dispatch{
 		Target:   t.announcement.ID,
 		TimeLeft: remaining(ctx),
 		Origin:   origin,
+		Tenant:   tenant,
 	})
 	response, outcome, err := sender.Send(s.transport, out)
 	if err != nil {
--- a/tenant.go
+++ b/tenant.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/base64"
 	"encoding/hex"
 	"slices"
 	"strings"
@@ -11,6 +12,10 @@
 // keyHashPrefix precedes the hash of a key in text.
 const keyHashPrefix = "sha256:"
 
+// keyIDBytes is the number of bytes of a key's hash in its id. The id is in the header
+// of each call between nodes.
+const keyIDBytes = 8
+
 // A Tenant is one of the parties that share a team's services. Its calls are
 // recognized by its keys.
 type Tenant struct {
@@ -58,6 +63,23 @@
 	return HashFrom(decoded)
 }
 
+// KeyID returns a short id of the key with a hash. It does not identify the key to
+// clients, and different keys may have the same id.
+func KeyID(hash [32]byte) string {
+	return base64.RawURLEncoding.EncodeToString(hash[:keyIDBytes])
+}
+
+// HasKeyID reports whether a tenant has a key with an id. It takes time in proportion to
+// the number of keys.
+func (c Configuration) HasKeyID(id string) bool {
+	for hash := range c.tenantsByKey {
+		if KeyID(hash) == id {
+			return true
+		}
+	}
+	return false
+}
+
 // WithTenants returns a copy of the configuration with other tenants.
 func (c Configuration) WithTenants(tenants []Tenant) Configuration {
 	c.tenants = slices.Clone(tenants)
