--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -67,6 +67,19 @@
 	}
 }
 
+// refuseAdmission responds to a call that is refused before it is sent.
+func (h *Handler) refuseAdmission(w http.ResponseWriter, id string, a admission, r fireflymoor.Refusal) {
+	switch r.Status {
+	case http.StatusUnauthorized:
+		h.options.Metrics.countTenant(noTenant, resultUnauthorized)
+	case http.StatusTooManyRequests:
+		h.options.Metrics.countTenant(a.identity.tenant.Name, resultLimited)
+	default:
+		h.options.Metrics.countTenant(a.identity.tenant.Name, r.Outcome.String())
+	}
+	h.refuseWithDelay(w, id, r.Status, r.Outcome, r.Reason, r.Reason, r.RetryAfter)
+}
+
 // admit finds a call's route and its tenant, or returns why the call is refused.
 func (h *Handler) admit(request *http.Request, metadata fireflymoor.CallMetadata) (admission, *fireflymoor.Refusal) {
 	a := admission{
--- a/internal/caller/admission_test.go
+++ b/internal/caller/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
@@ -252,3 +254,46 @@
 	is.Equal(f.tries, 3)
 	is.Equal(q.tenants, []string{"first", "first"})
 }
+
+// tenantCounts returns the counts of tenants' calls by the values of their labels.
+func tenantCounts(is *is.I, registry *prometheus.Registry) map[string]float64 {
+	families, err := registry.Gather()
+	is.NoErr(err)
+	counts := map[string]float64{}
+	for _, family := range families {
+		if family.GetName() != "fireflymoor_tenant_calls_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			labels := metric.GetLabel() // sorted by name
+			counts[labels[1].GetValue()+" "+labels[0].GetValue()] = metric.GetCounter().GetValue()
+		}
+	}
+	return counts
+}
+
+// TestTenantMetrics checks that calls are counted by tenant and result, and that the
+// number of series is bounded however many tenants there are.
+func TestTenantMetrics(t *testing.T) {
+	is := is.New(t)
+	registry := prometheus.NewRegistry()
+	h, f := newTenantHandler()
+	h.options.Metrics = NewMetrics(registry)
+	h.options.Quota = &fixedQuota{left: 1}
+	for _, key := range []string{"key-1", "key-1", "other", ""} {
+		makeTenantCall(h, "/x", key, "")
+	}
+	f.onTry = func() error { return errNoTarget }
+	h.options.Quota = nil
+	makeTenantCall(h, "/x", "key-1", "")
+	is.Equal(tenantCounts(is, registry), map[string]float64{
+		"first answered": 1,
+		"first limited":  1,
+		"first not-run":  1,
+		"- unauthorized": 2,
+	})
+	for i := range 10 * maxTenantLabels {
+		h.options.Metrics.countTenant(fmt.Sprint(i), "answered")
+	}
+	is.True(len(tenantCounts(is, registry)) <= maxTenantLabels+4)
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -144,7 +144,7 @@
 		refused = h.checkRequest(request, a, metadataErr)
 	}
 	if refused != nil {
-		h.refuseWithDelay(w, id, refused.Status, refused.Outcome, refused.Reason, refused.Reason, refused.RetryAfter)
+		h.refuseAdmission(w, id, a, *refused)
 		return
 	}
 	route := a.route
@@ -158,7 +158,7 @@
 		return
 	}
 	if refused = h.checkQuota(a.identity, start); refused != nil {
-		h.refuseWithDelay(w, id, refused.Status, refused.Outcome, refused.Reason, refused.Reason, refused.RetryAfter)
+		h.refuseAdmission(w, id, a, *refused)
 		return
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), timeout)
@@ -232,6 +232,7 @@
 		if status != http.StatusUnauthorized {
 			retryAfter = retryDelay(ctx, c.route, outcome)
 		}
+		h.options.Metrics.countTenant(c.identity.tenant.Name, outcome.String())
 		h.refuseWithDelay(w, c.id, status, outcome, callerReason(ctx, c, outcome, err), err.Error(), retryAfter)
 		return
 	}
--- a/internal/caller/idempotency.go
+++ b/internal/caller/idempotency.go
@@ -61,11 +61,11 @@
 	h.recordClaim(c, grant, err)
 	switch {
 	case errors.Is(err, claimer.ErrKeyReused):
-		h.refuse(w, c.id, http.StatusUnprocessableEntity, fireflymoor.NotRun, err.Error())
+		h.refuseCall(w, c, http.StatusUnprocessableEntity, fireflymoor.NotRun, err.Error())
 	case errors.Is(err, claimer.ErrKeyInUse):
-		h.refuse(w, c.id, http.StatusConflict, fireflymoor.Unknown, err.Error())
+		h.refuseCall(w, c, http.StatusConflict, fireflymoor.Unknown, err.Error())
 	case err != nil:
-		h.refuse(w, c.id, http.StatusServiceUnavailable, fireflymoor.NotRun, err.Error())
+		h.refuseCall(w, c, http.StatusServiceUnavailable, fireflymoor.NotRun, err.Error())
 	case kept != nil:
 		w.Header().Set(annotator.Replayed, "yes")
 		h.writeResponse(w, c, newResponse(kept))
@@ -114,7 +114,7 @@
 	if err != nil {
 		_ = response.Body.Close()
 		c.grant.RecordUnknown(ctx)
-		h.refuse(w, c.id, http.StatusBadGateway, fireflymoor.Unknown, "the answer broke off")
+		h.refuseCall(w, c, http.StatusBadGateway, fireflymoor.Unknown, "the answer broke off")
 		return
 	}
 	source := response.Body
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -8,8 +9,27 @@
 	"github.com/fireflymoor/fireflymoor"
 )
 
+const (
+	// maxTenantLabels bounds the tenants that have series of their own. The first ones
+	// with a call get them, and the others share those of otherTenants.
+	maxTenantLabels = 200
+	// otherTenants and noTenant are no names of tenants.
+	otherTenants = "*"
+	noTenant     = "-"
+)
+
+// Results of tenants' calls beside their outcomes.
+const (
+	resultUnauthorized = "unauthorized"
+	resultLimited      = "limited"
+)
+
 // Metrics holds the metrics of calls from callers.
 type Metrics struct {
+	tenantCalls *prometheus.CounterVec
+	lock        sync.Mutex
+	// tenants holds the tenants that have series of their own.
+	tenants     map[string]bool
 	calls       *prometheus.CounterVec
 	failedTries *prometheus.CounterVec
 	claims      *prometheus.CounterVec
@@ -19,6 +39,11 @@
 // NewMetrics returns new Metrics that are registered with registry.
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		tenants: map[string]bool{},
+		tenantCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflymoor_tenant_calls_total",
+			Help: "Callers' calls by tenant and by outcome or cause of refusal.",
+		}, []string{"tenant", "result"}),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "fireflymoor_calls_total",
 			Help: "Callers' calls, by outcome.",
@@ -37,7 +62,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
 		}),
 	}
-	registry.MustRegister(m.calls, m.failedTries, m.claims, m.duration)
+	registry.MustRegister(m.calls, m.tenantCalls, m.failedTries, m.claims, m.duration)
 	return m
 }
 
@@ -46,3 +71,25 @@
 	m.calls.WithLabelValues(outcome.String()).Inc()
 	m.duration.Observe(time.Since(start).Seconds())
 }
+
+// countTenant counts a call of a tenant. It ignores calls without one.
+func (m *Metrics) countTenant(tenant, result string) {
+	if tenant == "" {
+		return
+	}
+	m.tenantCalls.WithLabelValues(m.tenantLabel(tenant), result).Inc()
+}
+
+// tenantLabel returns the label of a tenant's series.
+func (m *Metrics) tenantLabel(tenant string) string {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	switch {
+	case m.tenants[tenant]:
+		return tenant
+	case len(m.tenants) >= maxTenantLabels:
+		return otherTenants
+	}
+	m.tenants[tenant] = true
+	return tenant
+}
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -54,6 +54,7 @@
 		_ = response.Body.Close()
 	}()
 	h.options.Metrics.observe(fireflymoor.Answered, c.start)
+	h.options.Metrics.countTenant(c.identity.tenant.Name, fireflymoor.Answered.String())
 	annotator.RemoveHopByHop(response.Header)
 	response.Header.Del(annotator.CallID)
 	response.Header.Del(annotator.Outcome)
@@ -89,6 +90,12 @@
 	h.refuseWithDelay(w, id, status, outcome, reason, reason, 0)
 }
 
+// refuseCall responds to a call that was admitted and gets no response from a target.
+func (h *Handler) refuseCall(w http.ResponseWriter, c *call, status int, outcome fireflymoor.Outcome, reason string) {
+	h.options.Metrics.countTenant(c.identity.tenant.Name, outcome.String())
+	h.refuse(w, c.id, status, outcome, reason)
+}
+
 // refuseWithDelay refuses a call with a reason and asks its caller to retry after
 // retryAfter, if that is not 0. The detail is logged.
 func (h *Handler) refuseWithDelay(w http.ResponseWriter, id string, status int, outcome fireflymoor.Outcome, reason, detail string, retryAfter time.Duration) {
