--- a/cmd/fireflymoor/main.go
+++ b/cmd/fireflymoor/main.go
@@ -49,6 +49,7 @@
 	Wait     waitCommand     `cmd:"" help:"Wait until a version is in force everywhere."`
 	History  historyCommand  `cmd:"" help:"List the latest changes."`
 	Targets  targetsCommand  `cmd:"" help:"List the targets by state."`
+	Tenants  tenantsCommand  `cmd:"" help:"List a team's tenants in the accepted version."`
 	Key      keyCommand      `cmd:"" help:"Work with the keys of tenants."`
 	Drain    drainCommand    `cmd:"" help:"Drain a node: send its targets no new calls."`
 	Replica  replicaCommand  `cmd:"" help:"Manage the control replicas."`
