internal/receiver, internal/sender: end early answered uploads before the connection is used again

What callers saw: a call that was sent on the connection of an upload that had been answered early, to another node or to a target, waited until the target had read the upload. And if a target closed its connection before it had read all, the caller's next request on its own connection failed.

Cause: a connection was taken for idle once the response had been read and the request written, which for a part of it means into buffers. And with full duplex, the server reads the rest of a body only after it has ended its own read of the connection. If it finds the end of the body, it starts to read the connection again, and panics at the next request; an error in the rest is ignored, so that the next request may begin within a body.

Change: the sender uses no connection again whose response came before its request had been sent, and the node of a target asks for its connection to be closed. The handlers end the body of a long request themselves. If nothing is being sent when the response is written, the server closes the connection afterwards instead of full duplex, unless all has been read.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -36,6 +36,8 @@
 	// unbuffered is set once more is read than is buffered.
 	unbuffered bool
 	tooLarge   bool
+	// ended is set once the source has been read to its end.
+	ended bool
 	// broken is set if the source failed, such as at a malformed chunk.
 	broken bool
 }
@@ -89,6 +91,13 @@
 	return !b.unbuffered && !b.tooLarge && !b.broken
 }
 
+// isRead reports whether the body has been read to its end.
+func (b *body) isRead() bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.ended
+}
+
 // failed reports whether the body could not be read from the caller.
 func (b *body) failed() bool {
 	b.lock.Lock()
@@ -149,6 +158,7 @@
 	b.reading = false
 	b.idle.Broadcast()
 	b.broken = b.broken || err != nil && !errors.Is(err, io.EOF)
+	b.ended = b.ended || errors.Is(err, io.EOF)
 	b.remaining -= int64(n)
 	if b.remaining < 0 {
 		b.tooLarge = true
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -170,9 +170,10 @@
 	h.options.Budget.RecordCall(service.Name, start)
 	if key != "" {
 		h.serveKeyed(ctx, w, c, key)
-		return
+	} else {
+		h.serve(ctx, w, c)
 	}
-	h.serve(ctx, w, c)
+	receiver.FinishRequest(w, request)
 }
 
 // matchRoute returns the route of a request, or the status and reason of a
@@ -232,7 +233,7 @@
 			outcome = fireflymoor.Unknown
 		}
 		c.conclude(ctx, outcome)
-		receiver.RespondAtOnce(w, c.request)
+		c.abandonRequest(w)
 		h.refuseWithDelay(w, c.id, failureStatus(ctx, c, outcome), outcome, callerReason(ctx, c, outcome, err), err.Error(), retryDelay(ctx, c.route, outcome))
 		return
 	}
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -10,6 +10,7 @@
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
+	"github.com/fireflymoor/fireflymoor/internal/sender"
 )
 
 // cancelGrace is added to a route's objective to distinguish a caller that
@@ -58,10 +59,20 @@
 	response.Header.Del(annotator.CallID)
 	response.Header.Del(annotator.Outcome)
 	h.options.Dialect.WriteResponse(response.Header, c.id)
-	receiver.RespondAtOnce(w, c.request)
+	if !sender.IsSending(response) {
+		c.abandonRequest(w)
+	}
 	receiver.Copy(w, response)
 }
 
+// abandonRequest makes the server respond without the rest of a long request, if it
+// has not been read.
+func (c *call) abandonRequest(w http.ResponseWriter) {
+	if !c.body.isRead() {
+		receiver.AbandonRequest(w, c.request)
+	}
+}
+
 // callerReason returns the reason for a failed call that its caller is told. The
 // error itself may name addresses of targets and sockets, and is only logged.
 func callerReason(ctx context.Context, c *call, outcome fireflymoor.Outcome, err error) string {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -17,6 +17,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
 	"github.com/fireflymoor/fireflymoor/internal/forwarder"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
+	"github.com/fireflymoor/fireflymoor/internal/sender"
 )
 
 const (
@@ -66,6 +67,7 @@
 	ctx, cancel := r.callContext(request, id, timeout)
 	defer cancel()
 	r.serve(ctx, w, request, id)
+	FinishRequest(w, request)
 }
 
 // callContext returns the context for running a call. A call that must not
@@ -112,12 +114,12 @@
 	target := fireflymoor.Target{
 		ID: request.Header.Get(annotator.TargetID),
 	}
-	RespondAtOnce(w, request)
 	response, outcome, err := r.forwarder.Forward(ctx, target, request)
 	if err != nil {
 		if outcome == fireflymoor.NotRun {
 			state = registrar.NotRun
 		}
+		AbandonRequest(w, request)
 		setRefusalHeaders(w.Header(), err)
 		r.log.Info().Str("call", id).Str("target", target.ID).Stringer("outcome", outcome).Err(err).Msg("receiver: not served")
 		Refuse(w, http.StatusServiceUnavailable, outcome, err.Error())
@@ -130,6 +132,7 @@
 		kept, err = bufferResponse(response)
 		if err != nil {
 			r.log.Info().Str("call", id).Err(err).Msg("receiver: the answer broke off")
+			AbandonRequest(w, request)
 			Refuse(w, http.StatusBadGateway, fireflymoor.Unknown, err.Error())
 			return
 		}
@@ -139,6 +142,11 @@
 	state = registrar.Answered
 	r.registrar.End(id, state, kept, time.Now())
 	annotator.RemoveHopByHop(response.Header)
+	if sender.IsSending(response) {
+		// Another call on this connection would wait until the target has read
+		// this one.
+		response.Header.Set("Connection", "close")
+	}
 	response.Header.Set(annotator.CallID, id)
 	response.Header.Set(annotator.Outcome, fireflymoor.Answered.String())
 	Copy(w, response)
--- a/internal/receiver/response.go
+++ b/internal/receiver/response.go
@@ -46,13 +46,25 @@
 	}
 }
 
-// RespondAtOnce makes the server leave the body of a long request alone until its
-// response has been written. Otherwise it reads and discards a part of the body before
-// that, while another part may be being sent to a target, and waits for callers that
-// wait for their response before they send more.
-func RespondAtOnce(w http.ResponseWriter, request *http.Request) {
-	if sender.IsLong(request) {
-		_ = http.NewResponseController(w).EnableFullDuplex()
+// AbandonRequest makes the server respond without the rest of a long request and
+// close the connection afterwards. Otherwise it reads a part of the rest before it
+// responds, and a caller may wait for its response before it sends more.
+func AbandonRequest(w http.ResponseWriter, request *http.Request) {
+	if sender.IsLong(request) && request.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// FinishRequest ends a long request once its response has been written and its sending
+// to a target has ended. The server does the same too late if full duplex is enabled:
+// it panics if it finds the end of the body then, and ignores a malformed rest.
+func FinishRequest(w http.ResponseWriter, request *http.Request) {
+	if !sender.IsLong(request) || request.ProtoMajor != 1 || w.Header().Get("Connection") == "close" {
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+	if err := request.Body.Close(); err != nil {
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -61,11 +73,19 @@
 // the client does not take the truncated response for complete.
 //
 // If the target responded before it had the whole request, Copy sends it the rest
-// before it returns, as the server discards the rest afterwards. RespondAtOnce must have
-// been called.
+// before it returns, as the server discards the rest afterwards.
 func Copy(w http.ResponseWriter, response *http.Response) {
+	controller := http.NewResponseController(w)
 	early := sender.IsSending(response)
+	if early {
+		// Otherwise the server discards a part of the request's body before it
+		// writes the response, while another part is being sent to the target.
+		_ = controller.EnableFullDuplex()
+	}
 	copyHeader(w.Header(), response.Header)
+	if sender.IsCutOff(response) {
+		AbandonRequest(w, response.Request)
+	}
 	if _, ok := response.Header["Content-Type"]; !ok {
 		w.Header()["Content-Type"] = nil // the server would guess one
 	}
@@ -77,7 +97,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if early {
-		_ = http.NewResponseController(w).Flush()
+		_ = controller.Flush()
 		sender.AwaitSent(response)
 	}
 }
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -40,8 +40,16 @@
 	// written is the result of writing the request, or nil while it is being
 	// written.
 	written atomic.Pointer[writeResult]
-	// sent is closed once a request whose body may be long has been written.
-	sent chan struct{}
+	// sending is the sending of a request whose body may be long.
+	sending *sending
+}
+
+// sending is the sending of a request whose body may be long.
+type sending struct {
+	// done is closed at its end.
+	done chan struct{}
+	// err is its result, once it has ended.
+	err error
 }
 
 // writeResult is the result of writing a request.
@@ -118,7 +126,7 @@
 // goroutine. A write error aborts the connection, and read returns it.
 func (c *conn) send(request *http.Request) {
 	c.written.Store(nil)
-	write := func() {
+	write := func() error {
 		err := request.Write(c.writer)
 		if err == nil {
 			err = c.writer.Flush()
@@ -129,16 +137,19 @@
 		if err != nil {
 			c.abort()
 		}
+		return err
 	}
 	if !IsLong(request) {
-		write()
+		_ = write()
 		return
 	}
-	sent := make(chan struct{})
-	c.sent = sent
+	s := &sending{
+		done: make(chan struct{}),
+	}
+	c.sending = s
 	go func() {
-		defer close(sent)
-		write()
+		defer close(s.done)
+		s.err = write()
 	}()
 }
 
--- a/internal/sender/transport.go
+++ b/internal/sender/transport.go
@@ -99,7 +99,7 @@
 	var responded atomic.Bool
 	stop := context.AfterFunc(ctx, func() {
 		if responded.Load() && IsLong(request) {
-			awaitSent(ctx, c.sent)
+			awaitSent(ctx, c.sending.done)
 		}
 		c.abort()
 	})
@@ -115,13 +115,20 @@
 	}
 	responded.Store(true)
 	if IsLong(request) {
-		response.Request = request.WithContext(context.WithValue(ctx, sentKey{}, c.sent))
+		response.Request = request.WithContext(context.WithValue(ctx, sendingKey{}, c.sending))
 	}
+	early := IsSending(response)
 	response.Body = &body{
 		ReadCloser: response.Body,
 		remaining:  response.ContentLength,
 		onEnd: func(complete bool) {
 			if stop() && complete && !response.Close && c.isIdle() {
+				if early {
+					// The peer may not have read all yet: another request would wait for
+					// that, and closing the connection may interrupt it.
+					time.AfterFunc(t.idle, c.close)
+					return
+				}
 				t.put(request.URL.Host, c, keepAlive(response.Header))
 				return
 			}
@@ -131,16 +138,16 @@
 	return response, nil
 }
 
-// sentKey is the key of the context value that AwaitSent waits for.
-type sentKey struct{}
+// sendingKey is the key of the context value that holds the sending of a request.
+type sendingKey struct{}
 
 // AwaitSent waits until the request of a response has been sent, in full or as far
 // as possible, or the deadline of its context has passed. A peer that responds before
 // it has read a long request may read the rest afterwards. Closing the response earlier
 // ends the sending.
 func AwaitSent(response *http.Response) {
-	if sent := sending(response); sent != nil {
-		awaitSent(response.Request.Context(), sent)
+	if s := sendingOf(response); s != nil {
+		awaitSent(response.Request.Context(), s.done)
 	}
 }
 
@@ -167,22 +174,34 @@
 
 // IsSending reports whether the request of a response is still being sent.
 func IsSending(response *http.Response) bool {
-	select {
-	case <-sending(response):
-		return false
-	default:
-		return sending(response) != nil
-	}
+	s := sendingOf(response)
+	return s != nil && !s.ended()
+}
+
+// IsCutOff reports whether the sending of a long request has failed.
+func IsCutOff(response *http.Response) bool {
+	s := sendingOf(response)
+	return s != nil && s.ended() && s.err != nil
 }
 
-// sending returns the channel that is closed once the request of a response has
-// been sent, or nil if it was sent before the response was read.
-func sending(response *http.Response) chan struct{} {
+// sendingOf returns the sending of the request of a response, or nil if it was sent
+// before the response was read.
+func sendingOf(response *http.Response) *sending {
 	if response.Request == nil {
 		return nil
 	}
-	sent, _ := response.Request.Context().Value(sentKey{}).(chan struct{})
-	return sent
+	s, _ := response.Request.Context().Value(sendingKey{}).(*sending)
+	return s
+}
+
+// ended reports whether the sending has ended.
+func (s *sending) ended() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // packed returns the request to write, with packed headers if there is a packer.
