--- a/integration/clients_test.go
+++ b/integration/clients_test.go
@@ -440,9 +440,11 @@
 }
 
 // TestLargestLegalHead guards against limits that refuse a single request within
-// the configured limits while the processes are calm.
+// the configured limits while the processes are calm. Each node must know the
+// targets before that, which checkOrdinary waits for.
 func TestLargestLegalHead(t *testing.T) {
 	m := start(t, attacked)
+	m.checkOrdinary()
 	authorized := requestLine(statusPath) + "Authorization: Bearer " + launcher.Token + "\r\n"
 	for address, start := range map[string]string{
 		launcher.CallersAddress(m.nodes[0].IP):      requestLine(callPath),
