internal/pipeliner: serve pipelined requests concurrently

Callers that pipeline waited for the responses to their earlier requests although targets had free slots. Requests of safe methods without a body now begin when they arrive, and their responses are sent in the order of the requests (RFC 9112, section 9.3.2).

TestPipelinedCallsRunConcurrently never ends without the change.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -155,7 +155,11 @@
 // Protect applies the limits of the listener to a server, which must serve only this
 // listener. It must be called before the server serves.
 func (l *Listener) Protect(server *http.Server) {
+	inner := server.ConnContext
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if inner != nil {
+			ctx = inner(ctx, c)
+		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	server.ConnState = l.connState
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -55,6 +55,11 @@
 	}
 }
 
+// NetConn returns the connection that this one wraps.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Read implements net.Conn. It refuses the request and fails once its header section
 // exceeds a limit.
 func (c *conn) Read(p []byte) (int, error) {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -88,6 +88,9 @@
 	Keys bool
 	// KeyWindow is the time for which an idempotency key is stored.
 	KeyWindow time.Duration
+	// Pipeline is the maximum number of pipelined requests of a caller's connection in
+	// progress at once.
+	Pipeline int
 	// Grace is the time for which a leaving process continues to serve callers.
 	Grace time.Duration
 	// Shutdown is the maximum time to wait for in-flight calls when the process
@@ -131,6 +134,7 @@
 	maxPort                = 65535
 	maxLinesPerSecond      = 1_000_000
 	maxConnections         = 1_000_000
+	maxPipeline            = 64
 	maxHeadMemory          = 1 << 40
 	minDuration            = 10 * time.Millisecond
 	maxDuration            = time.Minute
@@ -158,6 +162,7 @@
 		Lease:           defaultLease,
 		Keys:            true,
 		KeyWindow:       defaultKeyWindow,
+		Pipeline:        1,
 		Grace:           defaultGrace,
 		Shutdown:        defaultShutdown,
 		Heartbeat:       defaultHeartbeat,
@@ -204,6 +209,7 @@
 	case "callers":
 		s.CallerService = section.String("service", "")
 		s.Keys = section.Bool("keys", true)
+		s.Pipeline = section.Int("pipeline", 1, 1, maxPipeline)
 		s.KeyWindow = section.Duration("key-window", defaultKeyWindow, minKeyWindow, maxKeyWindow)
 	case "clients":
 		s.Connections = section.Int("connections", 0, 1, maxConnections)
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -23,6 +23,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/packer"
+	"github.com/fireflymoor/fireflymoor/internal/pipeliner"
 	"github.com/fireflymoor/fireflymoor/internal/platform"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
@@ -200,6 +201,14 @@
 
 // start starts the parts specific to a node.
 func (n *node) start(workCtx context.Context, group *sync.WaitGroup) {
+	pipelined := pipeliner.New(pipeliner.Options{
+		Depth:    n.settings.Pipeline,
+		Budget:   n.heads,
+		Leaving:  n.leaving.Load,
+		Registry: n.registry,
+	})
+	n.listeners[n.settings.Callers] = pipelined.Wrap(n.listeners[n.settings.Callers])
+	pipelined.Attach(n.callers)
 	n.serve(group, n.callers, "callers", n.settings.Callers)
 	n.serve(group, n.calls, "calls", n.settings.Calls)
 	n.serve(group, n.platform, "platform", n.settings.Platform)
