internal/pipeliner: begin only calls whose requests the server accepts

http.ReadRequest does not check all that the server checks: the characters of the Host line and of header lines, and the Host line itself of a request whose URI names a host. Such requests ran, with unchecked header lines, although the server responded to them with status 400. They now wait for their turn, as do those whose Upgrade or Expect line is empty and followed by another.

TestRefusedRequestDoesNotRun fails without the change: the call ran.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,9 @@
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
 )
 
+// hostCharacters are the characters of ordinary hosts and ports.
+const hostCharacters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._:[]"
+
 // mode is what the server does with a connection.
 type mode int
 
@@ -215,7 +219,28 @@
 func isEligible(request *http.Request) bool {
 	safe := request.Method == http.MethodGet || request.Method == http.MethodHead
 	return safe && request.ContentLength == 0 && len(request.TransferEncoding) == 0 && request.ProtoMajor == 1 && request.ProtoMinor == 1 &&
-		request.Header.Get("Expect") == "" && request.Header.Get("Upgrade") == "" && !request.Close && request.Host != ""
+		len(request.Header["Expect"]) == 0 && len(request.Header["Upgrade"]) == 0 && !request.Close && request.Host != ""
+}
+
+// isAccepted reports whether the server is certain to accept a request with a header
+// section. http.ReadRequest does not check what the server checks after it: the Host
+// line, and the characters of names and values. A request that is not certain to be
+// accepted has to wait until the server has read it.
+func isAccepted(request *http.Request, head []byte) bool {
+	if !strings.HasPrefix(request.RequestURI, "/") {
+		return false // the host may come from the URI, without a Host line
+	}
+	for i, b := range head {
+		if b == '\r' && head[i+1] != '\n' || b < ' ' && b != '\t' && b != '\r' && b != '\n' || b == 0x7f {
+			return false
+		}
+	}
+	for name := range request.Header {
+		if strings.Contains(name, " ") {
+			return false
+		}
+	}
+	return strings.Trim(request.Host, hostCharacters) == ""
 }
 
 // readAhead begins the calls of complete requests, and reads on until no more may
@@ -307,7 +332,7 @@
 		return false
 	}
 	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
-	if err != nil || !isEligible(request) {
+	if err != nil || !isEligible(request) || !isAccepted(request, head) {
 		return false
 	}
 	address := c.RemoteAddr().String()
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -31,6 +32,28 @@
 	reader  *bufio.Reader
 	leaving atomic.Bool
 	served  *Pipeliner
+	server  *http.Server
+	budget  *acceptor.Budget
+	log     logBuffer
+}
+
+// logBuffer holds the log of a server.
+type logBuffer struct {
+	lock sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.text.String()
 }
 
 func newFixture(t *testing.T, depth int, handler http.HandlerFunc) *fixture {
@@ -38,30 +61,31 @@
 	f := &fixture{
 		is: is.New(t),
 	}
-	budget := acceptor.NewBudget(acceptor.MinHeadMemory)
+	f.budget = acceptor.NewBudget(acceptor.MinHeadMemory)
 	registry := prometheus.NewRegistry()
 	f.served = New(Options{
 		Depth:    depth,
-		Budget:   budget,
+		Budget:   f.budget,
 		Leaving:  f.leaving.Load,
 		Registry: registry,
 	})
 	limited := acceptor.New(acceptor.Options{
 		Connections: 10,
-		Budget:      budget,
+		Budget:      f.budget,
 		Registry:    registry,
 		Log:         zerolog.Nop(),
 	})
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	f.is.NoErr(err)
-	server := &http.Server{
-		Handler: handler,
+	f.server = &http.Server{
+		Handler:  handler,
+		ErrorLog: log.New(&f.log, "", 0),
 	}
 	listener := limited.Wrap(f.served.Wrap(raw), "callers")
-	f.served.Attach(server)
-	listener.Protect(server)
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
+	f.served.Attach(f.server)
+	listener.Protect(f.server)
+	go func() { _ = f.server.Serve(listener) }()
+	t.Cleanup(func() { _ = f.server.Close() })
 	f.conn, err = net.Dial("tcp", raw.Addr().String())
 	f.is.NoErr(err)
 	f.is.NoErr(f.conn.SetDeadline(time.Now().Add(2 * waitLimit)))
@@ -306,3 +330,28 @@
 		<-ctx.Done()
 	}
 }
+
+// TestRefusedRequestDoesNotRun guards against calls for requests that the server refuses
+// although they can be parsed.
+func TestRefusedRequestDoesNotRun(t *testing.T) {
+	for _, refused := range []string{
+		"GET /bad HTTP/1.1\r\nHost: a/b\r\n\r\n",
+		"GET http://a/bad HTTP/1.1\r\nX: b\r\n\r\n",
+		"GET /bad HTTP/1.1\r\nHost: a\r\nX: b\x01\r\n\r\n",
+		"GET /bad HTTP/1.1\r\nHost: a\r\nX Y: b\r\n\r\n",
+	} {
+		var runs atomic.Int64
+		f := newFixture(t, 4, func(_ http.ResponseWriter, request *http.Request) {
+			if request.URL.Path == "/bad" {
+				runs.Add(1)
+			}
+			time.Sleep(5 * time.Millisecond)
+		})
+		f.pipeline()
+		f.send(get("/0") + refused)
+		f.read()
+		status, _ := f.read()
+		f.is.Equal(status, http.StatusBadRequest)
+		f.is.Equal(runs.Load(), int64(0))
+	}
+}
