internal/pipeliner: cancel the context of a call that has ended

The context of a call that began ahead of its turn was that of the connection, so that what the call had started went on, and was held in memory, until the connection ended. net/http cancels the context of a request once its handler has returned.

TestContextEndsWithCall fails without the change.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -353,9 +353,12 @@
 	}
 	c.calls = append(c.calls, begun)
 	c.pipeliner.ahead.Inc()
-	request = request.WithContext(c.ctx)
+	// The server, too, cancels the context of a request once its handler has returned.
+	ctx, cancel := context.WithCancel(c.ctx)
+	request = request.WithContext(ctx)
 	go func() {
 		defer close(begun.done)
+		defer cancel()
 		defer charge.Release()
 		c.pipeliner.run(begun.response, request)
 	}()
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -355,3 +355,17 @@
 		f.is.Equal(runs.Load(), int64(0))
 	}
 }
+
+// TestContextEndsWithCall guards against work of a call that goes on after its response.
+func TestContextEndsWithCall(t *testing.T) {
+	ended := make(chan struct{}, 4)
+	f := newFixture(t, 4, func(_ http.ResponseWriter, request *http.Request) {
+		context.AfterFunc(request.Context(), func() { ended <- struct{}{} })
+		time.Sleep(5 * time.Millisecond)
+	})
+	f.pipeline()
+	f.send(get("/0") + get("/1"))
+	f.read()
+	f.read()
+	f.waitFor(func() bool { return len(ended) == 4 })
+}
