internal/pipeliner: notice callers that leave while no more calls may begin

Nothing read from a connection whose number of calls was at the maximum, or whose next request had to wait, because the server had a byte of the next request already. All its calls went on after their caller had left. Bytes are now read ahead up to their bound even while no calls may begin.

TestCallerLeavesAtDepth fails without the change.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -243,8 +243,7 @@
 	return strings.Trim(request.Host, hostCharacters) == ""
 }
 
-// readAhead begins the calls of complete requests, and reads on until no more may
-// begin.
+// readAhead begins the calls of complete requests, and reads on in the background.
 func (c *conn) readAhead() {
 	c.beginCalls()
 	if c.reading || c.direct || c.err != nil || !c.mayRead() {
@@ -254,13 +253,15 @@
 	go c.read()
 }
 
-// mayRead reports whether more requests may be read ahead.
+// mayRead reports whether more bytes may be read ahead. They may be even while no more
+// calls may begin, because the end of the connection would not be noticed otherwise: the
+// server does not read on once it has a byte of the next request.
 func (c *conn) mayRead() bool {
-	return c.holding && !c.barrier && len(c.calls)+1 < c.pipeliner.options.Depth && len(c.ahead) < maxAheadBytes
+	return c.holding && len(c.ahead) < maxAheadBytes
 }
 
-// read reads ahead until no more requests may be read ahead, or until the server
-// interrupts it by a deadline.
+// read reads ahead until no more bytes may be read ahead, or until the server interrupts
+// it by a deadline.
 func (c *conn) read() {
 	buffer := make([]byte, readSize)
 	c.lock.Lock()
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -369,3 +369,22 @@
 	f.read()
 	f.waitFor(func() bool { return len(ended) == 4 })
 }
+
+// TestCallerLeavesAtDepth guards against calls that go on after their caller has left
+// because nothing more may be read ahead.
+func TestCallerLeavesAtDepth(t *testing.T) {
+	var running atomic.Int64
+	f := newFixture(t, 2, func(_ http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/warm" {
+			return
+		}
+		running.Add(1)
+		<-request.Context().Done()
+		running.Add(-1)
+	})
+	f.pipeline()
+	f.send(get("/0") + get("/1") + get("/2"))
+	f.waitFor(func() bool { return running.Load() == 2 })
+	f.is.NoErr(f.conn.Close())
+	f.waitFor(func() bool { return running.Load() == 0 })
+}
