internal/pipeliner: end a connection only behind the last call

A response that was too long to be held kept its line Connection: close although calls had begun behind it, so that a leaving node lost their responses. Besides, a call could begin between the decision to end the connection and the end of the response. Both ways of sending a response now decide alike, and no call begins once a connection is to end.

TestLongResponsesOfLeavingNode fails without the change: unexpected EOF.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -349,7 +349,7 @@
 	begun := &call{
 		method:   request.Method,
 		uri:      request.RequestURI,
-		response: newResponse(c.ctx, c.pipeliner),
+		response: newResponse(c.ctx, c),
 		done:     make(chan struct{}),
 	}
 	c.calls = append(c.calls, begun)
@@ -370,11 +370,8 @@
 // behind it have begun, their responses would be lost with the connection, so that the
 // caller gets status 502 instead.
 func (c *conn) send(w http.ResponseWriter, r *response) {
-	c.lock.Lock()
-	more := len(c.calls) > 0
-	c.lock.Unlock()
 	switch {
-	case r.panicked != nil && (r.streaming || !more):
+	case r.panicked != nil && (r.streaming || c.endsWith(true)):
 		r.release()
 		panic(r.panicked)
 	case r.panicked != nil:
@@ -382,13 +379,22 @@
 		w.Header().Set(annotator.Outcome, "unknown")
 		http.Error(w, "unknown: the response broke off", http.StatusBadGateway)
 	case !r.streaming:
-		if more {
-			r.header.Del("Connection")
-		}
 		_ = r.writeHeld(w) // the server notices a broken connection
 	}
 }
 
+// endsWith reports whether the connection may end with the current response because no
+// calls have begun behind it. If it is to end, none begins from then on.
+func (c *conn) endsWith(isToEnd bool) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if len(c.calls) > 0 {
+		return false
+	}
+	c.holding = c.holding && !isToEnd
+	return true
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.lock.Lock()
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -138,7 +138,7 @@
 		<-begun.done
 		c.send(w, begun.response)
 	case hold:
-		response := newResponse(request.Context(), p)
+		response := newResponse(request.Context(), c)
 		response.direct = w
 		p.run(response, request)
 		c.send(w, response)
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -388,3 +388,27 @@
 	f.is.NoErr(f.conn.Close())
 	f.waitFor(func() bool { return running.Load() == 0 })
 }
+
+// TestLongResponsesOfLeavingNode guards against calls whose responses are lost because a
+// response ahead of them that is too long to be held closes the connection.
+func TestLongResponsesOfLeavingNode(t *testing.T) {
+	var f *fixture
+	var running atomic.Int64
+	f = newFixture(t, 4, func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path != "/warm" {
+			running.Add(1)
+			f.waitFor(func() bool { return running.Load() == 3 })
+			f.leaving.Store(true)
+			w.Header().Set("Connection", "close")
+		}
+		_, _ = io.WriteString(w, strings.Repeat("x", maxHeldBytes+1))
+	})
+	f.pipeline()
+	f.send(get("/0") + get("/1") + get("/2"))
+	for range 3 {
+		_, body := f.read()
+		f.is.Equal(len(body), maxHeldBytes+1)
+	}
+	_, err := f.reader.ReadByte()
+	f.is.Equal(err, io.EOF)
+}
--- a/internal/pipeliner/response.go
+++ b/internal/pipeliner/response.go
@@ -12,6 +12,7 @@
 // that is too long to be held waits for its turn.
 type response struct {
 	ctx       context.Context
+	conn      *conn
 	pipeliner *Pipeliner
 	header    http.Header
 	// direct is the writer to use once the response is too long to be held, or nil if
@@ -30,10 +31,11 @@
 	panicked any
 }
 
-func newResponse(ctx context.Context, p *Pipeliner) *response {
+func newResponse(ctx context.Context, c *conn) *response {
 	return &response{
 		ctx:       ctx,
-		pipeliner: p,
+		conn:      c,
+		pipeliner: c.pipeliner,
 		header:    http.Header{},
 		turn:      make(chan struct{}),
 	}
@@ -102,8 +104,12 @@
 	close(r.turn)
 }
 
-// writeHeld writes the head and the held part of the body.
+// writeHeld writes the head and the held part of the body. The response ends the
+// connection only if no calls have begun behind it, whose responses would be lost.
 func (r *response) writeHeld(w http.ResponseWriter) error {
+	if !r.conn.endsWith(r.header.Get("Connection") != "") {
+		r.header.Del("Connection")
+	}
 	maps.Copy(w.Header(), r.header)
 	if r.status != 0 {
 		w.WriteHeader(r.status)
