internal/pipeliner: do not send a truncated response as a complete one

A response that is too long to be held waits for its turn. If the caller closed its sending side in that time, the write failed, and if the handler did not panic for that, the part that had been held was sent as a complete response. It now counts as one that broke off.

TestTruncatedResponse fails without the change.

--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -412,3 +412,31 @@
 	_, err := f.reader.ReadByte()
 	f.is.Equal(err, io.EOF)
 }
+
+// TestTruncatedResponse guards against a response that could not be written in full and
+// is sent as if it were complete, to a caller that has only closed its sending side.
+func TestTruncatedResponse(t *testing.T) {
+	f := newFixture(t, 4, func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/0" {
+			<-request.Context().Done()
+			time.Sleep(20 * time.Millisecond)
+			return
+		}
+		for range 2 {
+			_, _ = io.WriteString(w, strings.Repeat("x", maxHeldBytes))
+		}
+	})
+	f.pipeline()
+	f.send(get("/0") + get("/1"))
+	time.Sleep(20 * time.Millisecond)
+	tcp, ok := f.conn.(*net.TCPConn)
+	f.is.True(ok)
+	f.is.NoErr(tcp.CloseWrite())
+	f.read()
+	response, err := http.ReadResponse(f.reader, nil)
+	if err != nil {
+		return // the connection was aborted
+	}
+	body, err := io.ReadAll(response.Body)
+	f.is.True(err != nil || len(body) == 2*maxHeldBytes)
+}
--- a/internal/pipeliner/response.go
+++ b/internal/pipeliner/response.go
@@ -27,6 +27,8 @@
 	held bytes.Buffer
 	// streaming is set once the head was written to direct.
 	streaming bool
+	// truncated is set if a part of the body could not be written.
+	truncated bool
 	// panicked is what the handler panicked with, or nil.
 	panicked any
 }
@@ -89,6 +91,7 @@
 		select {
 		case <-r.turn:
 		case <-r.ctx.Done():
+			r.truncated = true
 			return r.ctx.Err()
 		}
 	}
@@ -136,7 +139,11 @@
 	return http.NewResponseController(r.direct).Flush()
 }
 
-// finish records that the handler has returned, or what it panicked with.
+// finish records that the handler has returned, or what it panicked with. A truncated
+// response must not be sent as if it were complete, so that it counts as broken off.
 func (r *response) finish(panicked any) {
+	if panicked == nil && r.truncated {
+		panicked = http.ErrAbortHandler
+	}
 	r.panicked = panicked
 }
