internal/pipeliner: abort a connection whose requests are parsed differently

If the server reads another request than the one whose call began, the connection is aborted. The call had been removed from those of the connection by then, so that its held response stayed counted for good, and if the server's request was one that may not begin ahead of its turn, it ran and took the place of the call unnoticed. No way to cause either from outside is known.

TestMismatchedRequest fails without the change.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -173,25 +173,25 @@
 func (c *conn) begin(request *http.Request) (begun *call, hold bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	known := c.mode == headRead
+	known := c.mode == headRead && isEligible(request)
 	c.mode = opaque
-	if !isEligible(request) || !known {
-		c.taken = nil
-		return nil, false
-	}
-	c.mode = serving
 	if len(c.calls) > 0 {
 		begun = c.calls[0]
+		if !known || begun.method != request.Method || begun.uri != request.RequestURI {
+			// The server and the reading ahead have parsed the same bytes differently.
+			// The call must not run again. Close drops those that have begun.
+			panic(http.ErrAbortHandler)
+		}
 		c.calls = slices.Delete(c.calls, 0, 1)
 	}
+	if !known {
+		c.taken = nil
+		return nil, false
+	}
+	c.mode = serving
 	hold = c.pipelines || begun != nil
 	c.pipelines = hold || len(c.taken) > 0 || len(c.ahead) > 0
 	c.holding = hold
-	if begun != nil && (begun.method != request.Method || begun.uri != request.RequestURI) {
-		// The server and the reading ahead have parsed the same bytes differently. The
-		// call must not run again.
-		panic(http.ErrAbortHandler)
-	}
 	if hold {
 		c.barrier = false
 		c.readAhead()
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -440,3 +441,30 @@
 	body, err := io.ReadAll(response.Body)
 	f.is.True(err != nil || len(body) == 2*maxHeldBytes)
 }
+
+// TestMismatchedRequest guards against a call that runs again, or whose held response
+// stays counted, if the server reads another request than the one that began.
+func TestMismatchedRequest(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		f := newFixture(t, 2, echo)
+		c := newConn(f.conn, f.served)
+		begun := &call{
+			method:   http.MethodGet,
+			uri:      "/1",
+			response: newResponse(t.Context(), c),
+			done:     make(chan struct{}),
+		}
+		close(begun.done)
+		_, _ = io.WriteString(begun.response, "held")
+		c.calls = append(c.calls, begun)
+		c.mode = headRead
+		func() {
+			defer func() { f.is.Equal(recover(), http.ErrAbortHandler) }()
+			request := httptest.NewRequest(method, "/2", http.NoBody)
+			request.RequestURI = "/2"
+			c.begin(request)
+		}()
+		f.is.NoErr(c.Close())
+		f.waitFor(func() bool { return f.served.held.Load() == 0 })
+	}
+}
