internal/pipeliner: log panics of handlers

A panic of a handler other than http.ErrAbortHandler was replaced by status 502 or dropped with its connection, and nothing was logged. It is now logged with its stack in the server's log, as net/http does.

TestPanicIsLogged fails without the change.

--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -42,6 +44,7 @@
 // A Pipeliner reads ahead on the connections of one server.
 type Pipeliner struct {
 	options Options
+	server  *http.Server
 	handler http.Handler
 	ahead   prometheus.Counter
 	// held is the number of response bytes that are held.
@@ -96,6 +99,7 @@
 	if p.options.Depth < 2 {
 		return
 	}
+	p.server = server
 	p.handler = server.Handler
 	server.Handler = http.HandlerFunc(p.serveHTTP)
 	server.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
@@ -148,10 +152,25 @@
 }
 
 // run serves a request. A panic, such as for a response that breaks off, is kept in the
-// response.
+// response. Any other is logged here with its stack, as the server would do, because it
+// may never get to the server.
 func (p *Pipeliner) run(response *response, request *http.Request) {
 	defer func() {
-		response.finish(recover())
+		panicked := recover()
+		if panicked != nil && panicked != http.ErrAbortHandler {
+			p.logf("http: panic serving %v: %v\n%s", request.RemoteAddr, panicked, debug.Stack())
+			panicked = http.ErrAbortHandler
+		}
+		response.finish(panicked)
 	}()
 	p.handler.ServeHTTP(response, request)
 }
+
+// logf writes to the log of the server.
+func (p *Pipeliner) logf(format string, values ...any) {
+	if p.server.ErrorLog == nil {
+		log.Printf(format, values...)
+		return
+	}
+	p.server.ErrorLog.Printf(format, values...)
+}
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -468,3 +468,22 @@
 		f.waitFor(func() bool { return f.served.held.Load() == 0 })
 	}
 }
+
+// TestPanicIsLogged guards against faults of a handler that nobody gets to know of,
+// because the response of the call that panicked is replaced by status 502.
+func TestPanicIsLogged(t *testing.T) {
+	f := newFixture(t, 4, func(w http.ResponseWriter, request *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		if request.URL.Path == "/0" {
+			panic("a fault")
+		}
+		echo(w, request)
+	})
+	f.pipeline()
+	f.send(get("/0") + get("/1"))
+	status, _ := f.read()
+	f.is.Equal(status, http.StatusBadGateway)
+	_, body := f.read()
+	f.is.Equal(body, "/1")
+	f.is.True(strings.Contains(f.log.String(), "a fault"))
+}
