internal/pipeliner: test leaving nodes without a time bound

TestLeavingNode failed in 2 of 300 runs on a busy machine, because its requests may arrive later than 2 ms after they were sent, and no call begins at a leaving node.

--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -260,16 +260,18 @@
 // of a leaving node is closed behind the first of them.
 func TestLeavingNode(t *testing.T) {
 	var f *fixture
+	var running atomic.Int64
 	f = newFixture(t, 4, func(w http.ResponseWriter, request *http.Request) {
-		time.Sleep(5 * time.Millisecond)
-		if f.leaving.Load() {
+		if request.URL.Path != "/warm" {
+			running.Add(1)
+			f.waitFor(f.leaving.Load)
 			w.Header().Set("Connection", "close")
 		}
 		echo(w, request)
 	})
 	f.pipeline()
 	f.send(get("/0") + get("/1") + get("/2"))
-	time.Sleep(2 * time.Millisecond)
+	f.waitFor(func() bool { return running.Load() == 3 })
 	f.leaving.Store(true)
 	for i := range 3 {
 		_, body := f.read()
