internal/shaper: admit bulk responses against the link, and pace them

Six targets of a service share 66 Mbit/s while bulk calls ask for more, so that the responses to short nested calls of the same targets waited behind them. A bulk call is refused before its target works if its response would wait for the link for more than half of its objective, bulk responses use four fifths of the link one after the other, and bulk calls stay in their zone. Only routes with bulk = yes and nodes that know the rate of their link are affected.

--- a/internal/annotator/annotator.go
+++ b/internal/annotator/annotator.go
@@ -61,13 +61,15 @@
 	Tenant = "Fireflymoor-Tenant"
 	// KeyID is the id of the key with which a call was made.
 	KeyID = "Fireflymoor-Key-Id"
+	// Bulk marks a call of a route with large responses that can wait.
+	Bulk = "Fireflymoor-Bulk"
 	// Packed combines most of these headers and other headers in one header.
 	Packed = "Ffm"
 )
 
 var (
 	// internalHeaders are the headers between nodes.
-	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, Load, Tenant, KeyID, Packed}
+	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, Load, Tenant, KeyID, Bulk, Packed}
 	// hopByHop are the headers that apply to a single connection only.
 	hopByHop = []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -120,6 +120,9 @@
 	start   time.Time
 	// identity is on whose behalf the call is made.
 	identity identity
+	// inZone is set if the call stays in the availability zone because it is a bulk call
+	// and the zone has a target.
+	inZone bool
 	// tried holds the ids of the targets that the call was sent to.
 	tried []string
 	// runs counts the tries that a target may have run.
@@ -259,6 +262,9 @@
 	c.request.Body, c.request.ContentLength = c.body.reader()
 	c.setPriorityHeaders(now)
 	c.setTenantHeaders()
+	if c.route.Bulk {
+		c.request.Header.Set(annotator.Bulk, "yes")
+	}
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
 	h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
 	if err != nil {
--- a/internal/caller/candidates.go
+++ b/internal/caller/candidates.go
@@ -50,5 +50,25 @@
 	for i := range eligible {
 		candidates = append(candidates, h.options.Tracker.Candidate(eligible[i], c.service.SlowStart, now))
 	}
+	if c.route.Bulk {
+		candidates = c.keepInZone(candidates)
+	}
 	return h.options.Balancer.Pick(notStalled(candidates), now)
 }
+
+// keepInZone returns the candidates in the availability zone of this node if there were
+// any at the first try of a bulk call, and all candidates otherwise. Links between zones
+// are expensive, and bulk calls can wait.
+func (c *call) keepInZone(candidates []fireflymoor.Candidate) []fireflymoor.Candidate {
+	var local []fireflymoor.Candidate
+	for i := range candidates {
+		if candidates[i].SameZone {
+			local = append(local, candidates[i])
+		}
+	}
+	c.inZone = c.inZone || len(c.tried) == 0 && len(local) > 0
+	if c.inZone {
+		return local
+	}
+	return candidates
+}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -97,6 +97,9 @@
 	Heartbeat time.Duration
 	// ElectionTimeout is the minimum time without a leader before an election.
 	ElectionTimeout time.Duration
+	// LinkRate is the rate of the instance's link, in bits a second, or 0 if it is not
+	// known.
+	LinkRate float64
 	// Connections is the maximum number of connections that each listener accepts, or
 	// 0 to derive it from the process's limit on descriptors.
 	Connections int
@@ -132,6 +135,7 @@
 	maxLinesPerSecond      = 1_000_000
 	maxConnections         = 1_000_000
 	maxHeadMemory          = 1 << 40
+	maxMegabits            = 10_000_000
 	minDuration            = 10 * time.Millisecond
 	maxDuration            = time.Minute
 	// minKeyWindow is longer than a claim may take.
@@ -205,6 +209,8 @@
 		s.CallerService = section.String("service", "")
 		s.Keys = section.Bool("keys", true)
 		s.KeyWindow = section.Duration("key-window", defaultKeyWindow, minKeyWindow, maxKeyWindow)
+	case "link":
+		s.readLink(section)
 	case "clients":
 		s.Connections = section.Int("connections", 0, 1, maxConnections)
 		s.HeadMemory = int64(section.Int("head-memory", acceptor.MinHeadMemory, acceptor.MinHeadMemory, maxHeadMemory))
@@ -215,6 +221,20 @@
 	}
 }
 
+// readLink reads the rate of the link, which is a decimal number of megabits a second.
+func (s *Settings) readLink(section *parser.Section) {
+	text := section.String("megabits", "")
+	if text == "" {
+		return
+	}
+	megabits, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(megabits >= 0) || megabits > maxMegabits {
+		section.Fault("megabits", fmt.Sprintf("%q is not a number between 0 and %d", text, maxMegabits))
+		return
+	}
+	s.LinkRate = megabits * 1e6
+}
+
 func (s *Settings) readProcess(section *parser.Section) {
 	s.Name = section.Required("name")
 	s.Role = section.Required("role")
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -45,6 +45,7 @@
 	annotator.Load:            'l',
 	annotator.Tenant:          'n',
 	annotator.KeyID:           'k',
+	annotator.Bulk:            'v',
 	"Content-Type":            'y',
 	"Date":                    'z',
 	"User-Agent":              'h',
--- a/internal/runner/call_test.go
+++ b/internal/runner/call_test.go
@@ -29,6 +29,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
 )
@@ -69,7 +70,7 @@
 			Slots:   1000,
 		}, time.Now())
 	}
-	local := target.NewServer(registry, annotator.NewDialect(), dial)
+	local := target.NewServer(registry, annotator.NewDialect(), dial, shaper.New(0, prometheus.NewRegistry()))
 	nodePacker := packer.New("far")
 	farAddress := serveHandler(b, nodePacker.Handler(receiver.New(func(boot uint64) bool { return boot == 1 }, local, registrar.New(), log)))
 	fullAddress := serveHandler(b, nodePacker.Handler(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -30,6 +30,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
 	"github.com/fireflymoor/fireflymoor/internal/verifier"
@@ -132,7 +133,7 @@
 
 // initServers creates the HTTP servers of the node.
 func (n *node) initServers() {
-	local := target.NewServer(n.targets, n.dialect(), n.dialer, sender.WithBudget(n.heads))
+	local := target.NewServer(n.targets, n.dialect(), n.dialer, shaper.New(n.settings.LinkRate, n.registry), sender.WithBudget(n.heads))
 	var claims caller.Claims
 	if n.settings.Keys {
 		claims = n.claims.claimer
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -15,6 +15,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/limiter"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
 )
 
 const (
@@ -31,6 +32,7 @@
 	registry  *Registry
 	dialect   fireflymoor.Dialect
 	transport *sender.Transport
+	shaper    *shaper.Shaper
 
 	lock sync.Mutex
 	// running holds the calls in progress at the targets by the ids that the
@@ -50,13 +52,15 @@
 var errKeyWithdrawn = errors.New("the key of the call was withdrawn")
 
 // NewServer returns a new Server that uses dialect for the headers of calls to the
-// targets. The options apply to the transport to the targets.
-func NewServer(registry *Registry, dialect fireflymoor.Dialect, dialer *dialer.Dialer, options ...sender.Option) *Server {
+// targets. Bulk responses share the link by shaper. The options apply to the transport
+// to the targets.
+func NewServer(registry *Registry, dialect fireflymoor.Dialect, dialer *dialer.Dialer, shaper *shaper.Shaper, options ...sender.Option) *Server {
 	options = append([]sender.Option{sender.WithResponseMatcher(dialect.SameCall)}, options...)
 	return &Server{
 		registry:  registry,
 		dialect:   dialect,
 		transport: sender.NewTransport(dialer.TrafficDialFunc(dialTimeout), idleTimeout, options...),
+		shaper:    shaper,
 		running:   map[string]*runningCalls{},
 	}
 }
@@ -106,6 +110,14 @@
 
 // Forward implements fireflymoor.Forwarder for the targets of this instance.
 func (s *Server) Forward(ctx context.Context, target fireflymoor.Target, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
+	if in.Header.Get(annotator.Bulk) != "" {
+		return s.forwardBulk(ctx, target, in)
+	}
+	return s.forward(ctx, target, in)
+}
+
+// forward acquires a slot of the target for a call and sends the call to it.
+func (s *Server) forward(ctx context.Context, target fireflymoor.Target, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
 	t, err := s.registry.find(target.ID, time.Now())
 	if err != nil {
 		return nil, fireflymoor.NotRun, errors.Wrapf(err, "target %s: find", target.ID)
--- a/internal/target/tenant_test.go
+++ b/internal/target/tenant_test.go
@@ -16,6 +16,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
 	"github.com/fireflymoor/fireflymoor/internal/counter"
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
 )
 
 // idDialect is the native dialect with a header for the id that a caller gives its call.
@@ -70,7 +71,7 @@
 		Address: listener.Listener.Addr().(*net.TCPAddr).String(),
 		Slots:   1,
 	}, time.Now())
-	b.server = NewServer(b.registry, idDialect{Dialect: annotator.NewDialect()}, dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())))
+	b.server = NewServer(b.registry, idDialect{Dialect: annotator.NewDialect()}, dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry())), shaper.New(0, prometheus.NewRegistry()))
 	return b
 }
 
