internal/evaluator: give short roll-outs a greater share

After an interruption of its calls, such as a suspension of the process, the evaluator waits for new samples before the verdict: the evidence that it holds is old then.

--- a/internal/evaluator/evaluator.go
+++ b/internal/evaluator/evaluator.go
@@ -48,8 +48,8 @@
 	// minUntriedCalls is the number of calls to a service from which a version that
 	// was never tried is not completed.
 	minUntriedCalls = 50
-	// settleTime is how long a new evaluator collects samples before its verdict, if
-	// the duration allows it.
+	// settleTime is how long an evaluator that is new or was not called for as long
+	// collects samples before its verdict, if the duration allows it.
 	settleTime = 2 * time.Second
 )
 
@@ -95,8 +95,10 @@
 	order    Order
 	current  Decision
 	evidence *evidence
-	// began is the time of the first call of Observe or Decide.
-	began time.Time
+	// began is the time of the first call of Observe or Decide, or of the first one
+	// after an interruption. called is that of the last call.
+	began  time.Time
+	called time.Time
 	// changed is the time of the last decision, or began. previous is the share
 	// before that decision.
 	changed  time.Time
@@ -121,14 +123,15 @@
 }
 
 // Observe adds the samples of one report of a node, in the order in which the node
-// sent them. It ignores samples with impossible counts and repeated reports.
+// sent them. It ignores samples with impossible counts, and a report that equals one
+// of the last 10 s from the same node to the nanosecond of its latencies.
 func (e *Evaluator) Observe(node string, samples []Sample, now time.Time) {
 	e.begin(now)
 	e.evidence.add(node, samples, e.settledShare(now), now)
 }
 
 // Decide returns the decision at the given time, and whether it differs from the one
-// before. The Evaluator takes a returned decision as current. If it could not be
+// before. It has to be called several times a second, also without samples. The Evaluator takes a returned decision as current. If it could not be
 // recorded, continue with a new Evaluator and the recorded decision.
 func (e *Evaluator) Decide(now time.Time) (Decision, bool) {
 	if e.current.State != Running {
@@ -146,11 +149,16 @@
 	return next, true
 }
 
+// begin notes the time of a call. After an interruption, such as a suspension of the
+// process, the evidence is old and the verdict waits for new samples.
 func (e *Evaluator) begin(now time.Time) {
 	if e.began.IsZero() {
-		e.began = now
 		e.changed = now
 	}
+	if e.began.IsZero() || now.Sub(e.called) >= settleTime {
+		e.began = now
+	}
+	e.called = now
 }
 
 // settledShare returns the share that applied everywhere to the calls of the reports
--- a/internal/evaluator/evaluator_test.go
+++ b/internal/evaluator/evaluator_test.go
@@ -79,6 +79,7 @@
 		{"fails 30%", 2, 0},
 		{"fails 100%", 0, 0},
 		{"fails 100%, 8 s", 0, 0},
+		{"fails 30%, 8 s", 8, 0}, // 2.5 s of calls
 		{"3 times slower", 2, 0},
 		{"3 times slower, 60 s", 2, 0},
 		{"10 times slower", 0, 0},
@@ -179,6 +180,23 @@
 	is.True(!changed) // the verdict is final
 }
 
+// TestInterruption guards against a verdict on evidence from before a suspension.
+func TestInterruption(t *testing.T) {
+	is := is.New(t)
+	order := Order{
+		Started:  time.Unix(1, 0),
+		Duration: 12 * time.Second,
+	}
+	e := New(order, Decision{})
+	e.Decide(order.Started)
+	_, changed := e.Decide(order.Started.Add(20 * time.Second))
+	is.True(changed) // the share drops
+	d, _ := e.Decide(order.Started.Add(21 * time.Second))
+	is.Equal(d.State, Running)
+	d, _ = e.Decide(order.Started.Add(22 * time.Second))
+	is.Equal(d.State, Completed)
+}
+
 // TestRepeatedReport guards against counting a report twice, and impossible counts.
 func TestRepeatedReport(t *testing.T) {
 	is := is.New(t)
@@ -211,7 +229,7 @@
 		}
 		e := New(order, Decision{})
 		completed := false
-		for at := time.Duration(0); at <= duration && !completed; at += duration / 100 {
+		for at := time.Duration(0); at <= duration && !completed; at += min(duration/100, time.Second) {
 			d, _ := e.Decide(order.Started.Add(at))
 			completed = d.State == Completed
 		}
--- a/internal/evaluator/plan.go
+++ b/internal/evaluator/plan.go
@@ -18,7 +18,7 @@
 	verdictReserve = 3 * time.Second
 	// dropReserve is the time between the last share and the verdict. A share that
 	// ends later would give calls whose reports arrive after the verdict.
-	dropReserve     = 3 * time.Second
+	dropReserve     = 2500 * time.Millisecond
 	shareResolution = 0.0001
 	// droppedShare is the share between the last stage and the verdict. It is not 0,
 	// to tell it from a roll-out that has not begun.
@@ -39,7 +39,12 @@
 	// calls of 0.8 s, within the bounds: a few percent, and enough calls to judge by.
 	initialTime     = 0.8
 	minInitialShare = 0.03
-	maxInitialShare = 0.10
+	maxInitialShare = 0.08
+	// singlePart is the part of the calls in the duration, and maxSingleShare the
+	// greatest share, that a version gets if the duration is too short for a second
+	// stage. A few percent would give too few calls to judge by.
+	singlePart     = 0.08
+	maxSingleShare = 0.2
 	// maxPeakShare leaves the old version enough calls to compare with.
 	maxPeakShare = 0.5
 	// minGrowth is the least factor by which the share grows, as each change is a
@@ -70,7 +75,12 @@
 }
 
 func (e *Evaluator) initialShare() float64 {
-	return roundShare(min(max(initialTime/e.order.Duration.Seconds(), minInitialShare), maxInitialShare))
+	duration := e.order.Duration.Seconds()
+	held := e.dropTime().Sub(e.order.Started)
+	if held < stageTime+minPeakTime {
+		return roundShare(min(singlePart*duration/(held+jitter).Seconds(), maxSingleShare))
+	}
+	return roundShare(min(max(initialTime/duration, minInitialShare), maxInitialShare))
 }
 
 // dropTime returns the time at which the share drops to wait for the verdict.
--- a/internal/evaluator/simulation_test.go
+++ b/internal/evaluator/simulation_test.go
@@ -128,11 +128,10 @@
 	if s.surge > 0 && now > s.load.duration*4/10 && now < s.load.duration*7/10 {
 		rate *= s.surge
 	}
+	for range s.poisson(rate * tick.Seconds()) {
+		s.call(s.random.IntN(s.nodes), now)
+	}
 	for n := range s.nodes {
-		calls := s.poisson(rate * tick.Seconds() / float64(s.nodes))
-		for range calls {
-			s.call(n, now)
-		}
 		if now%time.Second == s.phase[n] {
 			s.report(n, now)
 		}
