--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -16,8 +16,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
-	"storj.io/drpc/drpcmux"
 
+	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/internal/asserter"
 	"github.com/fireflymoor/fireflymoor/internal/coordinator"
 	"github.com/fireflymoor/fireflymoor/internal/counter"
@@ -41,6 +41,9 @@
 	// maxQueuedLogLines is the capacity of the log buffer, in lines. Calls never
 	// wait for the log to be written.
 	maxQueuedLogLines = 8192
+	// clientLogBurst is the maximum number of log lines a second about clients that
+	// exceed a limit.
+	clientLogBurst = 5
 )
 
 // member holds the parts that nodes and control replicas share: overlay
@@ -58,9 +61,14 @@
 	random      *rand.Rand
 	boot        uint64
 	listeners   map[string]net.Listener
-	logWriter   io.Closer
-	adapter     Adapter
-	panics      prometheus.Counter
+	acceptor    *acceptor.Acceptor
+	// heads bounds the memory for header sections, and messages that for incomplete
+	// messages of other processes.
+	heads     *acceptor.Budget
+	messages  *acceptor.Budget
+	logWriter io.Closer
+	adapter   Adapter
+	panics    prometheus.Counter
 }
 
 // newMember returns a member that listens on the non-empty addresses.
@@ -96,6 +104,16 @@
 	})
 	registry.MustRegister(m.panics)
 	m.sequencer.ContainPanics(m.recordPanic)
+	m.heads = acceptor.NewBudget(settings.HeadMemory)
+	m.acceptor = acceptor.New(acceptor.Options{
+		Connections: acceptor.Connections(settings.Connections),
+		Budget:      m.heads,
+		Registry:    registry,
+		Log: log.Sample(&zerolog.BurstSampler{
+			Burst:  clientLogBurst,
+			Period: time.Second,
+		}),
+	})
 	m.dialer = dialer.New(settings.Overlay, m.counter)
 	m.client = linker.NewClient(m.dialer)
 	for _, option := range options {
@@ -180,15 +198,18 @@
 	}
 }
 
-// serve serves HTTP on an address until the server is shut down. It does
-// nothing if the address is empty.
-func (m *member) serve(group *sync.WaitGroup, s *http.Server, address string) {
+// serve serves HTTP on an address until the server is shut down, within the limits on
+// clients. It does nothing if the address is empty. The name of the listener is the
+// key of its address in the settings.
+func (m *member) serve(group *sync.WaitGroup, s *http.Server, name, address string) {
 	if address == "" {
 		return
 	}
 	s.ErrorLog = newDebugLogger(m.log)
+	listener := m.acceptor.Wrap(m.listeners[address], name)
+	listener.Protect(s)
 	group.Go(func() {
-		if err := s.Serve(m.listeners[address]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			m.log.Error().Err(err).Str("address", address).Msg("process: HTTP server failed")
 		}
 	})
@@ -215,7 +236,7 @@
 // role, which run until workCtx ends. leave is called after ctx has ended and
 // before workCtx is canceled. The sequencer stops last, because the other parts
 // post tasks to it.
-func (m *member) run(ctx context.Context, mux *drpcmux.Mux, start func(workCtx context.Context, group *sync.WaitGroup), leave func()) {
+func (m *member) run(ctx context.Context, mux *linker.Mux, start func(workCtx context.Context, group *sync.WaitGroup), leave func()) {
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	sequencerCtx, stopSequencer := context.WithCancel(context.WithoutCancel(ctx))
@@ -235,10 +256,19 @@
 	m.client.Close()
 }
 
-// serveOverlay serves the requests of other processes until ctx ends.
-func (m *member) serveOverlay(ctx context.Context, group *sync.WaitGroup, mux *drpcmux.Mux) {
+// serveOverlay serves the requests of other processes until ctx ends, within the
+// limits on clients.
+func (m *member) serveOverlay(ctx context.Context, group *sync.WaitGroup, mux *linker.Mux) {
 	group.Go(func() {
-		if err := linker.Serve(ctx, m.listeners[m.settings.Overlay], mux, m.counter, m.recordPanic); err != nil {
+		err := linker.Serve(ctx, m.listeners[m.settings.Overlay], linker.ServerOptions{
+			Mux:         mux,
+			Counter:     m.counter,
+			OnPanic:     m.recordPanic,
+			Connections: m.settings.Connections,
+			Messages:    m.messages,
+			OnRefusal:   func(limit, address string) { m.acceptor.Refuse("overlay", limit, address) },
+		})
+		if err != nil {
 			m.log.Error().Err(err).Msg("overlay: server failed")
 		}
 	})
