Roll out a version of a service's targets

Operators could move calls between services only, not to another version of a service's targets. An order is now a change in the replicated log, beside the configuration and without effect on its labels or parents. Targets give their version, nodes choose the version of a call by the share in force, and report how calls end to the log's leader, which evaluates them and writes its decisions to the log.

--- a/cmd/fireflymoor/main.go
+++ b/cmd/fireflymoor/main.go
@@ -50,6 +50,7 @@
 	History  historyCommand  `cmd:"" help:"List the latest changes."`
 	Targets  targetsCommand  `cmd:"" help:"List the targets by state."`
 	Drain    drainCommand    `cmd:"" help:"Drain a node: send its targets no new calls."`
+	Rollout  rolloutCommand  `cmd:"" help:"Move a service's calls to targets of another version."`
 	Replica  replicaCommand  `cmd:"" help:"Manage the control replicas."`
 }
 
--- a/configuration.go
+++ b/configuration.go
@@ -142,7 +142,8 @@
 	limits   Limits
 	// byHost holds the indexes in routes by host in lower case, the most specific
 	// route first.
-	byHost map[string][]int
+	byHost   map[string][]int
+	rollouts []Rollout
 }
 
 // NewConfiguration returns a new Configuration of team.
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -319,6 +319,7 @@
 		Zone:    f.GetZone(),
 		Team:    f.GetTeam(),
 		Address: f.GetCallAddress(),
+		Version: t.GetVersion(),
 		Slots:   int(t.GetSlots()),
 		State:   state,
 	}
--- a/internal/applier/applier.go
+++ b/internal/applier/applier.go
@@ -97,8 +97,12 @@
 		empty := fireflymoor.NewConfiguration(a.team, nil, nil, fireflymoor.Limits{})
 		return empty.WithNumber(manifest.Number()), entry, nil
 	}
+	rollouts, err := fireflymoor.DecodeRollouts(inputs.Rollouts)
+	if err != nil {
+		return fireflymoor.Configuration{}, entry, errors.Wrapf(err, "applier: version %d", manifest.Number())
+	}
 	if entry.Rendered == a.entry.Rendered {
-		return a.current.WithNumber(manifest.Number()), entry, nil
+		return a.current.WithNumber(manifest.Number()).WithRollouts(rollouts), entry, nil
 	}
 	rendered, err := a.renderer.Render(a.team, inputs)
 	if err != nil {
@@ -107,5 +111,5 @@
 	if fireflymoor.HashOf(rendered.Text) != entry.Rendered {
 		return fireflymoor.Configuration{}, entry, errors.Wrapf(errMismatch, "applier: version %d", manifest.Number())
 	}
-	return rendered.Configuration.WithNumber(manifest.Number()), entry, nil
+	return rendered.Configuration.WithNumber(manifest.Number()).WithRollouts(rollouts), entry, nil
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -76,6 +76,12 @@
 	// Claims prevents calls with the same idempotency key from running twice. If
 	// it is nil, keys are passed on like any other header.
 	Claims Claims
+	// Evidence records calls to services under roll-out. It may be nil.
+	Evidence Evidence
+	// IsCurrent reports whether the shares of roll-outs in the configuration may be
+	// used, which they may not in a process that was suspended. If it is nil, they
+	// always may.
+	IsCurrent func() bool
 	// Metrics counts calls.
 	Metrics *Metrics
 	// RouteLog receives one line for each pick of a target, and Log all other
@@ -122,6 +128,8 @@
 	// failedResponse is the response of a target that failed. It is returned
 	// if no other target responds.
 	failedResponse *http.Response
+	// rollout is the state that concerns the roll-out of the service.
+	rollout rolloutState
 	// grant is the granted claim on the call's idempotency key, or nil.
 	grant *claimer.Grant
 }
@@ -166,6 +174,7 @@
 		nested:  metadata.Parent != "" && h.options.IsRunning(metadata.Parent),
 		body:    callBody,
 		start:   start,
+		rollout: newRolloutState(),
 	}
 	h.options.Budget.RecordCall(service.Name, start)
 	if key != "" {
@@ -256,11 +265,13 @@
 	c.request.Header.Set(annotator.TargetID, pick.Target.ID)
 	c.request.Body, c.request.ContentLength = c.body.reader()
 	c.setPriorityHeaders(now)
+	observation := h.observe(c, pick.Target)
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
 	h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
 	if err != nil {
 		end()
 		h.recordFailure(ctx, c, pick.Target, outcome, err)
+		observation.recordError(ctx, c, outcome)
 		return nil, outcome, err
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -276,6 +287,7 @@
 		ReadCloser: response.Body,
 		onClose:    end,
 	}
+	observation.recordResponse(ctx, c, response, time.Since(now))
 	return response, outcome, nil
 }
 
--- a/internal/caller/candidates.go
+++ b/internal/caller/candidates.go
@@ -35,17 +35,11 @@
 	return filtered
 }
 
-// pick chooses a target that is ready and not yet tried, or a suspected one if
-// no ready target is left. It excludes ejected targets, up to the share of the
-// targets that the limits allow.
+// pick chooses one of the usable targets. It excludes ejected targets, up to the
+// share of the targets that the limits allow.
 func (h *Handler) pick(c *call, now time.Time) (fireflymoor.Pick, bool) {
-	all := h.options.Viewer.View().Targets(c.service.Name)
 	share := c.view.Configuration().Limits().EjectShare
-	ready := untried(all, fireflymoor.Ready, c.view.Configuration().Team(), c.tried)
-	if len(ready) == 0 {
-		ready = untried(all, fireflymoor.Suspect, c.view.Configuration().Team(), c.tried)
-	}
-	eligible := h.options.Ejector.Filter(ready, share, now)
+	eligible := h.options.Ejector.Filter(h.usable(c), share, now)
 	candidates := make([]fireflymoor.Candidate, 0, len(eligible))
 	for i := range eligible {
 		candidates = append(candidates, h.options.Tracker.Candidate(eligible[i], c.service.SlowStart, now))
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -20,7 +20,7 @@
 // early, its request could not be read, or the target's node was only busy. A
 // caller that canceled after the objective had good reason to.
 func (h *Handler) recordFailure(ctx context.Context, c *call, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) && time.Since(c.start) < c.route.Objective+cancelGrace {
+	if c.canceledEarly(ctx) {
 		return
 	}
 	if c.body.failed() && ctx.Err() == nil {
@@ -38,6 +38,12 @@
 	h.options.Ejector.RecordFailure(target.ID, time.Now())
 }
 
+// canceledEarly reports whether the caller canceled the call before its objective had
+// passed.
+func (c *call) canceledEarly(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && time.Since(c.start) < c.route.Objective+cancelGrace
+}
+
 // respond sends a target's response to the caller.
 func (h *Handler) respond(ctx context.Context, w http.ResponseWriter, c *call, response *http.Response) {
 	if c.grant != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,8 +76,8 @@
 	// Exit ends the process immediately.
 	Exit func(status int)
 	// OnAccepted is called on the sequencer with the version at the start and
-	// with newly applied versions. Pieces are the template and values texts of
-	// all teams.
+	// with newly applied versions. Pieces are the template, values and
+	// roll-outs texts of all teams.
 	OnAccepted func(manifest fireflymoor.Manifest, pieces []string)
 }
 
@@ -271,7 +271,7 @@
 	var pieces []string
 	for _, e := range manifest.Teams() {
 		inputs, _ := c.recorder.Inputs(e.Team)
-		pieces = append(pieces, inputs.Template, inputs.Values)
+		pieces = append(pieces, inputs.Template, inputs.Values, inputs.Rollouts)
 	}
 	c.options.OnAccepted(manifest, pieces)
 }
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -109,6 +109,7 @@
 	return fireflymoor.Inputs{
 		Template: d.pieces[entry.Template],
 		Values:   d.pieces[entry.Values],
+		Rollouts: d.pieces[entry.Rollouts],
 	}, true
 }
 
--- a/internal/distributor/pull.go
+++ b/internal/distributor/pull.go
@@ -98,6 +98,9 @@
 		old, _ := d.manifest.Team(e.Team)
 		pull.Pieces = d.appendRequest(pull.GetPieces(), e.Template, old.Template)
 		pull.Pieces = d.appendRequest(pull.GetPieces(), e.Values, old.Values)
+		if e.Rollouts != (fireflymoor.Hash{}) {
+			pull.Pieces = d.appendRequest(pull.GetPieces(), e.Rollouts, old.Rollouts)
+		}
 	}
 	if len(pull.GetPieces()) == 0 {
 		d.store(manifest, nil, nil)
--- a/internal/distributor/update.go
+++ b/internal/distributor/update.go
@@ -69,6 +69,11 @@
 			return nil
 		}
 	}
+	if e.Rollouts != old.Rollouts {
+		if u.Rollouts, err = compressor.Pack(pieces[e.Rollouts], d.pieces[old.Rollouts]); err != nil {
+			return nil
+		}
+	}
 	return u
 }
 
@@ -119,6 +124,9 @@
 	if entry.Values, ok = d.unpackInto(received, u.GetValues(), entry.Values); !ok {
 		return false
 	}
+	if entry.Rollouts, ok = d.unpackInto(received, u.GetRollouts(), entry.Rollouts); !ok {
+		return false
+	}
 	next := d.manifest.With(entry)
 	hash := next.Hash()
 	if string(hash[:]) != string(u.GetHash()) {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -13,13 +13,17 @@
 
 // FromEntry converts an entry to a message.
 func FromEntry(e fireflymoor.TeamEntry) *TeamEntry {
-	return &TeamEntry{
+	m := &TeamEntry{
 		Team:         e.Team,
 		Number:       e.Number,
 		TemplateHash: e.Template[:],
 		ValuesHash:   e.Values[:],
 		RenderedHash: e.Rendered[:],
 	}
+	if e.Rollouts != (fireflymoor.Hash{}) {
+		m.RolloutsHash = e.Rollouts[:]
+	}
+	return m
 }
 
 // ToEntry converts a message to an entry. It returns an error if a hash does not
@@ -28,7 +32,9 @@
 	template, templateOK := fireflymoor.HashFrom(m.GetTemplateHash())
 	values, valuesOK := fireflymoor.HashFrom(m.GetValuesHash())
 	rendered, renderedOK := fireflymoor.HashFrom(m.GetRenderedHash())
-	if !templateOK || !valuesOK || !renderedOK {
+	rollouts, rolloutsOK := fireflymoor.HashFrom(m.GetRolloutsHash())
+	rolloutsOK = rolloutsOK || len(m.GetRolloutsHash()) == 0
+	if !templateOK || !valuesOK || !renderedOK || !rolloutsOK {
 		return fireflymoor.TeamEntry{}, errHashLength
 	}
 	return fireflymoor.TeamEntry{
@@ -37,6 +43,7 @@
 		Template: template,
 		Values:   values,
 		Rendered: rendered,
+		Rollouts: rollouts,
 	}, nil
 }
 
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/kit/endpoint"
@@ -74,6 +75,7 @@
 	handle("GET /v1/targets", anyScope, decodeNothing, func(ctx context.Context, _ any) (any, error) {
 		return s.targets(ctx)
 	})
+	handleRollouts(s, handle)
 	handle("POST /v1/nodes/{node}/drain", adminScope, decodeNode, func(ctx context.Context, r any) (any, error) {
 		return struct{}{}, s.replica.Drain(ctx, r.(string))
 	})
@@ -87,10 +89,42 @@
 	return mux
 }
 
+// handleFunc registers an endpoint under a pattern.
+type handleFunc func(pattern string, scopeOf scopeFunc, decode httptransport.DecodeRequestFunc, e endpoint.Endpoint)
+
+// handleRollouts registers the endpoints of roll-outs.
+func handleRollouts(s *Service, handle handleFunc) {
+	handle("POST /v1/teams/{team}/rollouts/{service}", rolloutScope, decodeRollout, func(ctx context.Context, r any) (any, error) {
+		request := r.(administrator.RolloutRequest)
+		return s.StartRollout(ctx, RolloutOrder{
+			ID:       request.ChangeID,
+			Team:     request.Team,
+			Service:  request.Service,
+			Version:  request.Version,
+			Duration: time.Duration(min(request.DurationMilliseconds, MaxRollout.Milliseconds()+1)) * time.Millisecond,
+		})
+	})
+	handle("POST /v1/teams/{team}/rollouts/{service}/abort", rolloutScope, decodeRollout, func(ctx context.Context, r any) (any, error) {
+		request := r.(administrator.RolloutRequest)
+		return s.AbortRollout(ctx, request.ChangeID, request.Team, request.Service)
+	})
+	handle("GET /v1/teams/{team}/rollouts/{service}", rolloutScope, decodeRolloutPath, func(ctx context.Context, r any) (any, error) {
+		request := r.(administrator.RolloutRequest)
+		return s.Rollout(ctx, request.Team, request.Service)
+	})
+	handle("GET /v1/teams/{team}/rollouts", rolloutScope, decodeRolloutPath, func(ctx context.Context, r any) (any, error) {
+		return s.rollouts(ctx, r.(administrator.RolloutRequest).Team)
+	})
+}
+
 func teamScope(request any) string {
 	return request.(administrator.ChangeRequest).Team
 }
 
+func rolloutScope(request any) string {
+	return request.(administrator.RolloutRequest).Team
+}
+
 func anyScope(any) string {
 	return ""
 }
@@ -161,6 +195,25 @@
 	return request, nil
 }
 
+func decodeRollout(_ context.Context, r *http.Request) (any, error) {
+	request := administrator.RolloutRequest{}
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxRequestBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&request); err != nil {
+		return nil, invalidError("decode", "the body is no such request: "+err.Error())
+	}
+	request.Team = r.PathValue("team")
+	request.Service = r.PathValue("service")
+	return request, nil
+}
+
+func decodeRolloutPath(_ context.Context, r *http.Request) (any, error) {
+	return administrator.RolloutRequest{
+		Team:    r.PathValue("team"),
+		Service: r.PathValue("service"),
+	}, nil
+}
+
 func decodeTeam(_ context.Context, r *http.Request) (any, error) {
 	return administrator.ChangeRequest{
 		Team: r.PathValue("team"),
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -60,12 +60,15 @@
 }
 
 // acceptedInputs returns the entry and the inputs that this replica has accepted
-// for a team. They are zero if there are none.
+// for a team. They are zero if there are none. The number of the entry is that of the
+// version that last changed the inputs, as a change names it as its parent, whatever
+// happened to roll-outs since.
 func (s *Service) acceptedInputs(ctx context.Context, team string) (fireflymoor.TeamEntry, fireflymoor.Inputs, error) {
 	entry := fireflymoor.TeamEntry{}
 	inputs := fireflymoor.Inputs{}
 	err := s.replica.Read(ctx, func(accepted *recorder.Recorder) {
 		entry, _ = accepted.Manifest().Team(team)
+		entry.Number = accepted.Number(team)
 		inputs, _ = accepted.Inputs(team)
 	})
 	return entry, inputs, err
@@ -134,7 +137,7 @@
 		for _, e := range accepted.Manifest().Teams() {
 			teams = append(teams, administrator.Team{
 				Team:   e.Team,
-				Number: e.Number,
+				Number: accepted.Number(e.Team),
 			})
 		}
 	})
@@ -152,6 +155,7 @@
 				Operator: r.GetOperator(),
 				Time:     time.UnixMilli(r.GetUnixMilliseconds()).UTC().Format(time.RFC3339),
 				Conflict: r.GetConflict(),
+				Rollout:  r.GetRollout(),
 			})
 		}
 	})
@@ -168,6 +172,7 @@
 			Team:    all[i].Team,
 			Zone:    all[i].Zone,
 			Node:    all[i].Node,
+			Version: all[i].Version,
 			Slots:   all[i].Slots,
 			State:   all[i].State.String(),
 		})
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -3,6 +3,7 @@
 package recorder
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"fmt"
 
@@ -27,6 +28,11 @@
 	records     []*messenger.ChangeRecord
 	recordsByID map[string]*messenger.ChangeRecord
 	labels      map[string]uint64
+	// numbers holds, for each team, the number of the version that last changed its
+	// template or values, which a change without a label names as its parent.
+	numbers map[string]uint64
+	// rollouts holds the decoded form of each team's input of that name.
+	rollouts map[string][]fireflymoor.Rollout
 }
 
 // New returns a new, empty Recorder.
@@ -35,6 +41,8 @@
 		inputs:      map[string]fireflymoor.Inputs{},
 		recordsByID: map[string]*messenger.ChangeRecord{},
 		labels:      map[string]uint64{},
+		numbers:     map[string]uint64{},
+		rollouts:    map[string][]fireflymoor.Rollout{},
 	}
 }
 
@@ -46,16 +54,22 @@
 	if c.GetLabel() > 0 {
 		text = fmt.Appendf(text, " %d %d", c.GetLabel(), c.GetParentLabel())
 	}
+	if order := c.GetRolloutOrder(); order != nil {
+		text = fmt.Appendf(text, " order %q %q %d", order.GetService(), order.GetVersion(), order.GetDurationMilliseconds())
+	}
+	if decision := c.GetRolloutDecision(); decision != nil {
+		text = fmt.Appendf(text, " decision %q %d %d", decision.GetService(), decision.GetStarted(), decision.GetStep())
+	}
 	sum := sha256.Sum256(text)
 	return sum[:]
 }
 
 // matchesParent reports whether a change is based on the accepted version. A
 // change with a label must name the accepted label as its parent and have a
-// greater one.
-func (r *Recorder) matchesParent(c *messenger.Change, entry fireflymoor.TeamEntry) bool {
+// greater one. Roll-outs do not change what a change is based on.
+func (r *Recorder) matchesParent(c *messenger.Change) bool {
 	if c.GetLabel() == 0 {
-		return entry.Number == c.GetParent()
+		return r.numbers[c.GetTeam()] == c.GetParent()
 	}
 	current := r.labels[c.GetTeam()]
 	return c.GetParentLabel() == current && c.GetLabel() > current
@@ -75,17 +89,21 @@
 		UnixMilliseconds: c.GetUnixMilliseconds(),
 		Digest:           Digest(c),
 		Label:            c.GetLabel(),
+		Rollout:          rolloutService(c),
 	}
-	entry, _ := r.manifest.Team(c.GetTeam())
-	if !r.matchesParent(c, entry) {
+	if isRollout(c) {
+		return r.applyRollout(c, record)
+	}
+	parent := r.numbers[c.GetTeam()]
+	if !r.matchesParent(c) {
 		record.Conflict = true
-		record.ActualParent = entry.Number
+		record.ActualParent = parent
 		r.addRecord(record)
 		return record, false
 	}
 	if err := r.accept(c); err != nil {
 		record.Conflict = true
-		record.ActualParent = entry.Number
+		record.ActualParent = parent
 		r.addRecord(record)
 		return record, false
 	}
@@ -111,13 +129,16 @@
 	if !c.GetKeepValues() {
 		inputs.Values = c.GetValues()
 	}
+	entry, _ := r.manifest.Team(c.GetTeam())
 	r.manifest = r.manifest.With(fireflymoor.TeamEntry{
 		Team:     c.GetTeam(),
 		Template: fireflymoor.HashOf(inputs.Template),
 		Values:   fireflymoor.HashOf(inputs.Values),
 		Rendered: rendered,
+		Rollouts: entry.Rollouts,
 	})
 	r.inputs[c.GetTeam()] = inputs
+	r.numbers[c.GetTeam()] = r.manifest.Number()
 	if c.GetLabel() > 0 {
 		r.labels[c.GetTeam()] = c.GetLabel()
 	}
@@ -158,6 +179,12 @@
 	return r.labels[team]
 }
 
+// Number returns the number of the version that last changed a team's template or
+// values, or 0 if it has none.
+func (r *Recorder) Number(team string) uint64 {
+	return r.numbers[team]
+}
+
 // Inputs returns a team's accepted inputs, and false if it has none.
 func (r *Recorder) Inputs(team string) (fireflymoor.Inputs, bool) {
 	inputs, ok := r.inputs[team]
@@ -190,6 +217,8 @@
 		state.Inputs[team] = &messenger.Inputs{
 			Template: inputs.Template,
 			Values:   inputs.Values,
+			Rollouts: inputs.Rollouts,
+			Number:   r.numbers[team],
 		}
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
@@ -212,6 +241,12 @@
 		r.inputs[team] = fireflymoor.Inputs{
 			Template: inputs.GetTemplate(),
 			Values:   inputs.GetValues(),
+			Rollouts: inputs.GetRollouts(),
+		}
+		entry, _ := manifest.Team(team)
+		r.numbers[team] = cmp.Or(inputs.GetNumber(), entry.Number)
+		if r.rollouts[team], err = fireflymoor.DecodeRollouts(inputs.GetRollouts()); err != nil {
+			return errors.Wrap(err, "recorder: decode the state")
 		}
 	}
 	for team, label := range state.GetLabels() {
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -20,6 +20,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/operator"
 	"github.com/fireflymoor/fireflymoor/internal/persister"
 	"github.com/fireflymoor/fireflymoor/internal/platform"
+	"github.com/fireflymoor/fireflymoor/internal/promoter"
 	"github.com/fireflymoor/fireflymoor/internal/replica"
 	"github.com/fireflymoor/fireflymoor/internal/replicator"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
@@ -54,6 +55,7 @@
 	transport  *replica.Transport
 	controller *controller.Controller
 	reports    map[string]receivedReport
+	promoter   *promoter.Promoter
 
 	admitLock sync.Mutex
 	admitter  *admitter.Admitter
@@ -123,6 +125,7 @@
 	if err != nil {
 		return err
 	}
+	c.promoter = promoter.New(promoter.NewMetrics(c.registry), c.log)
 	c.transport.SetPeers(c.settings.Replicas)
 	c.initCoordinator(&messenger.Fact{
 		Control:  true,
@@ -188,6 +191,7 @@
 	group.Go(func() { c.transport.Run(workCtx) })
 	group.Go(func() { c.sequencer.Every(workCtx, peerRefreshInterval, c.refreshPeers) })
 	group.Go(func() { c.bootstrapLog(workCtx) })
+	group.Go(func() { c.sequencer.Every(workCtx, promoteInterval, func() { c.promote(workCtx) }) })
 	c.log.Info().Str("zone", c.settings.Zone).Str("disk", c.persister.Disk()).Msg("process: control replica started")
 }
 
--- /dev/null
+++ b/internal/runner/evidence.go
@@ -0,0 +1,157 @@
+package runner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"github.com/fireflymoor/fireflymoor/internal/collector"
+	"github.com/fireflymoor/fireflymoor/internal/loader"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+)
+
+const (
+	// evidenceInterval is the least time between two messages with evidence of one
+	// sender. A message passes two senders, and must arrive within a second or so.
+	evidenceInterval = 500 * time.Millisecond
+	// evidenceTimeout bounds the delivery of a message to one receiver.
+	evidenceTimeout = 500 * time.Millisecond
+	// activityInterval is how often a process records that it runs, and maxInactivity
+	// the longest gap without such a record after which roll-outs are still current.
+	activityInterval = 100 * time.Millisecond
+	maxInactivity    = time.Second
+	// catchUpTime is how long a process that was suspended has to receive the
+	// decisions that were made meanwhile.
+	catchUpTime = 2 * time.Second
+)
+
+var errNoLeader = errors.New("no control replica took the evidence")
+
+// sendEvidence sends the evidence of this node to its zone's first reporter and, on
+// that node, the evidence of the zone to the leader. It is called on the sequencer.
+func (n *node) sendEvidence(ctx context.Context) {
+	announcer := n.coordinator.Announcer()
+	reporters := announcer.Reporters(n.settings.Zone)
+	if len(reporters) == 0 {
+		return
+	}
+	if reporters[0].GetName() != n.settings.Name {
+		address := reporters[0].GetOverlayAddress()
+		n.deliverEvidence(ctx, n.evidence, func(ctx context.Context, message *messenger.Evidence) error {
+			return n.reportEvidence(ctx, address, message)
+		})
+	} else if message := n.evidence.Next(); message != nil {
+		n.relay.Add(message.GetSamples())
+		n.evidence.Acknowledge(message.GetSequence())
+	}
+	replicas := n.replicas()
+	n.deliverEvidence(ctx, n.relay, func(ctx context.Context, message *messenger.Evidence) error {
+		return n.submitEvidence(ctx, replicas, message)
+	})
+	n.relayFilter.Retain(func(name string) bool { return announcer.Fact(name) != nil })
+}
+
+// deliverEvidence sends the next message of a collector in the background, if it has
+// one. A message that is not acknowledged stays the next one.
+func (n *node) deliverEvidence(ctx context.Context, from *collector.Collector, send func(ctx context.Context, message *messenger.Evidence) error) {
+	message := from.Next()
+	if message == nil || !from.Begin() {
+		return
+	}
+	go func() {
+		defer from.End()
+		if err := send(ctx, message); err != nil {
+			n.log.Info().Err(err).Msg("report: evidence not delivered")
+			return
+		}
+		from.Acknowledge(message.GetSequence())
+	}()
+}
+
+// reportEvidence sends a message to the reporter at an address.
+func (n *node) reportEvidence(ctx context.Context, address string, message *messenger.Evidence) error {
+	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
+	defer cancel()
+	return n.client.Call(ctx, address, func(conn drpc.Conn) error {
+		_, err := messenger.NewDRPCOverlayClient(conn).ReportEvidence(ctx, message)
+		return err
+	})
+}
+
+// submitEvidence sends a message to the replicas in turn, from the one that took the
+// last message, until one takes it.
+func (n *node) submitEvidence(ctx context.Context, replicas []loader.Replica, message *messenger.Evidence) error {
+	var last error
+	first := int(n.leaderIndex.Load())
+	for i := range replicas {
+		index := (first + i) % len(replicas)
+		taken, err := n.submitEvidenceTo(ctx, replicas[index].Address, message)
+		if taken {
+			n.leaderIndex.Store(int64(index))
+			return nil
+		}
+		last = errors.CombineErrors(err, last)
+	}
+	return errors.CombineErrors(last, errNoLeader)
+}
+
+func (n *node) submitEvidenceTo(ctx context.Context, address string, message *messenger.Evidence) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
+	defer cancel()
+	reply := &messenger.EvidenceReply{}
+	err := n.client.Call(ctx, address, func(conn drpc.Conn) error {
+		var err error
+		reply, err = messenger.NewDRPCSourceClient(conn).SubmitEvidence(ctx, message)
+		return err
+	})
+	return err == nil && reply.GetTaken(), err
+}
+
+// ReportEvidence implements messenger.DRPCOverlayServer.
+func (ns *nodeServer) ReportEvidence(ctx context.Context, evidence *messenger.Evidence) (*messenger.Empty, error) {
+	n := ns.node
+	err := n.sequencer.Do(ctx, func() {
+		if n.relayFilter.IsNew(evidence) {
+			n.relay.Add(evidence.GetSamples())
+		}
+	})
+	return &messenger.Empty{}, err
+}
+
+// activity detects that the process was suspended.
+type activity struct {
+	// lastAt and resumedAt are in Unix nanoseconds, and 0 before the first record and
+	// the first suspension.
+	lastAt    atomic.Int64
+	resumedAt atomic.Int64
+}
+
+// watch records that the process runs until ctx ends.
+func (a *activity) watch(ctx context.Context) {
+	ticker := time.NewTicker(activityInterval)
+	defer ticker.Stop()
+	for {
+		a.record(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (a *activity) record(now time.Time) {
+	last := a.lastAt.Swap(now.UnixNano())
+	if last > 0 && now.UnixNano()-last > int64(maxInactivity) {
+		a.resumedAt.Store(now.UnixNano())
+	}
+}
+
+// isCurrent reports whether the process has not been suspended, or has had the time to
+// catch up since.
+func (a *activity) isCurrent(now time.Time) bool {
+	return now.UnixNano()-a.lastAt.Load() <= int64(maxInactivity) && now.UnixNano()-a.resumedAt.Load() >= int64(catchUpTime)
+}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -17,6 +17,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/applier"
 	"github.com/fireflymoor/fireflymoor/internal/balancer"
 	"github.com/fireflymoor/fireflymoor/internal/caller"
+	"github.com/fireflymoor/fireflymoor/internal/collector"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
 	"github.com/fireflymoor/fireflymoor/internal/forwarder"
 	"github.com/fireflymoor/fireflymoor/internal/linker"
@@ -71,6 +72,15 @@
 	throttle     applier.Throttle
 	applyPending bool
 	leaving      atomic.Bool
+	// evidence sums up this node's calls to services under roll-out. If the node is
+	// its zone's reporter, relay sums up the calls of the zone's nodes, and
+	// relayFilter, which is accessed only on the sequencer, drops repeated messages.
+	evidence    *collector.Collector
+	relay       *collector.Collector
+	relayFilter *collector.Filter
+	activity    activity
+	// leaderIndex is the index of the replica that last took evidence.
+	leaderIndex atomic.Int64
 
 	// callers serves local callers, calls serves the calls that other nodes
 	// forward.
@@ -98,6 +108,10 @@
 		tracker: tracker.New(settings.Name, settings.Zone),
 		packer:  packer.New(settings.Name, m.dialect().CommonHeaders()...),
 		claims:  newClaims(settings, m.client),
+
+		evidence:    collector.New(settings.Name, m.boot),
+		relay:       collector.New(settings.Name, m.boot),
+		relayFilter: collector.NewFilter(),
 	}
 	n.remote = forwarder.NewRemote(m.dialer, n.packer, sender.WithBudget(m.heads))
 	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
@@ -133,6 +147,8 @@
 		Budget:      retrier.NewBudget(),
 		RefusalRate: retrier.NewRefusalRate(),
 		Claims:      claims,
+		Evidence:    n.evidence,
+		IsCurrent:   func() bool { return n.activity.isCurrent(time.Now()) },
 		Metrics:     caller.NewMetrics(n.registry),
 		Log:         n.rateLimitedLog(),
 		RouteLog:    n.rateLimitedLog(),
@@ -210,6 +226,8 @@
 	group.Go(func() { n.confirm(workCtx) })
 	group.Go(func() { n.sequencer.Every(workCtx, reportInterval, func() { n.sendReports(workCtx) }) })
 	group.Go(func() { n.expireLeases(workCtx) })
+	group.Go(func() { n.sequencer.Every(workCtx, evidenceInterval, func() { n.sendEvidence(workCtx) }) })
+	group.Go(func() { n.activity.watch(workCtx) })
 	if n.settings.Keys {
 		group.Go(func() { n.sequencer.Every(workCtx, ringInterval, n.pruneRing) })
 		group.Go(func() { n.claims.restore(workCtx, n.log) })
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -32,6 +32,8 @@
 	Address string `json:"address"`
 	// Slots is the number of calls that the target serves concurrently.
 	Slots int `json:"slots"`
+	// Version is the version of the target's software, or empty.
+	Version string `json:"version,omitempty"`
 	// Started is when the target started, in Unix milliseconds by the clock of
 	// the target, or 0 if the target does not send it.
 	Started int64 `json:"started,omitempty"`
@@ -46,7 +48,8 @@
 // sameTarget reports whether b describes the same start of a target with the same
 // capacity.
 func (a Announcement) sameTarget(b Announcement) bool {
-	return a.Service == b.Service && a.Address == b.Address && a.Slots == b.Slots && a.Started == b.Started
+	return a.Service == b.Service && a.Address == b.Address && a.Slots == b.Slots && a.Started == b.Started &&
+		a.Version == b.Version
 }
 
 // localTarget is an announced target of this instance.
@@ -426,6 +429,7 @@
 			Id:      annotator.JoinTarget(r.node, id),
 			Service: t.announcement.Service,
 			Slots:   uint32(t.announcement.Slots),
+			Version: t.announcement.Version,
 			State:   state,
 		})
 	}
--- a/pkg/administrator/messages.go
+++ b/pkg/administrator/messages.go
@@ -154,6 +154,8 @@
 	// Conflict reports whether the change was refused because its parent was not
 	// the team's accepted version.
 	Conflict bool `json:"conflict"`
+	// Rollout is the service of the roll-out that was ordered or aborted, or empty.
+	Rollout string `json:"rollout,omitempty"`
 }
 
 // Target is one target as seen by a replica.
@@ -168,6 +170,8 @@
 	Zone string `json:"zone"`
 	// Node is the name of the node in the target's instance.
 	Node string `json:"node"`
+	// Version is the version of the target's software, or empty.
+	Version string `json:"version,omitempty"`
 	// Slots is the number of calls that the target serves at once.
 	Slots int `json:"slots"`
 	// State is ready, draining or suspect.
--- a/version.go
+++ b/version.go
@@ -29,6 +29,9 @@
 	Template string
 	// Values is the text of the team's values.
 	Values string
+	// Rollouts is the text of the team's roll-outs, which the system writes. It is
+	// empty if there are none.
+	Rollouts string
 }
 
 // Rendered is the result of rendering a template with values.
@@ -51,6 +54,8 @@
 	Values Hash
 	// Rendered is the hash of the rendered form.
 	Rendered Hash
+	// Rollouts is the hash of the roll-outs, or zero if there are none.
+	Rollouts Hash
 }
 
 // A Manifest lists the content of one accepted version by hash. It is immutable.
@@ -103,7 +108,9 @@
 	return NewManifest(entry.Number, append(teams, entry))
 }
 
-// Hash returns the hash of the version's number and all entries.
+// Hash returns the hash of the version's number and all entries. Roll-outs are
+// appended, so that a version without any has the hash that builds without roll-outs
+// compute.
 func (m Manifest) Hash() Hash {
 	b := &bytes.Buffer{}
 	b.Write(binary.BigEndian.AppendUint64(nil, m.number))
@@ -115,14 +122,24 @@
 		b.Write(e.Values[:])
 		b.Write(e.Rendered[:])
 	}
+	for _, e := range m.teams {
+		if e.Rollouts != (Hash{}) {
+			b.Write(binary.BigEndian.AppendUint32(nil, uint32(len(e.Team))))
+			b.WriteString(e.Team)
+			b.Write(e.Rollouts[:])
+		}
+	}
 	return sha256.Sum256(b.Bytes())
 }
 
-// Pieces returns the hashes of the templates and values of all teams.
+// Pieces returns the hashes of the templates, values and roll-outs of all teams.
 func (m Manifest) Pieces() []Hash {
 	hashes := make([]Hash, 0, 2*len(m.teams))
 	for _, e := range m.teams {
 		hashes = append(hashes, e.Template, e.Values)
+		if e.Rollouts != (Hash{}) {
+			hashes = append(hashes, e.Rollouts)
+		}
 	}
 	return hashes
 }
--- a/view.go
+++ b/view.go
@@ -38,6 +38,8 @@
 	Team string
 	// Address is the address where the node accepts calls from other nodes.
 	Address string
+	// Version is the version of the target's software, or empty if it gave none.
+	Version string
 	// Slots is the number of calls that the target serves at once.
 	Slots int
 	// State is the target's state.
