--- a/internal/operator/rollout.go
+++ b/internal/operator/rollout.go
@@ -133,6 +133,7 @@
 		return administrator.Rollout{
 			Team:    change.GetTeam(),
 			Service: service,
+			Version: change.GetRolloutOrder().GetVersion(),
 			State:   administrator.RolloutRunning,
 			Number:  record.GetNumber(),
 		}, nil
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,8 +16,12 @@
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
 )
 
-// maxAnnouncementBytes is the maximum size of an announcement's body.
-const maxAnnouncementBytes = 16 << 10
+const (
+	// maxAnnouncementBytes is the maximum size of an announcement's body.
+	maxAnnouncementBytes = 16 << 10
+	// maxVersionBytes is the maximum length of a target's version.
+	maxVersionBytes = 128
+)
 
 // NewHandler returns a new http.Handler. unreadyReason returns why the process is
 // not ready, or "" if it is ready. targets may be nil; then the handler accepts no
@@ -102,6 +106,8 @@
 		return "service is not in kebab case"
 	case err != nil || net.ParseIP(host) == nil:
 		return "address is not IP:PORT"
+	case len(a.Version) > maxVersionBytes:
+		return "version is too long"
 	case a.Slots < 1 || a.Slots > parser.MaxSlots:
 		return fmt.Sprintf("slots is not between 1 and %d", parser.MaxSlots)
 	}
