internal/vetter: use new versions of targets only when no order can follow

Targets of a new version may start before the order of their roll-out is in force at a node, or while the node is cut off. Versions that are there when the node starts are used at once, so that deployments without roll-outs are served as before.

--- a/internal/caller/rollout.go
+++ b/internal/caller/rollout.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,7 +75,7 @@
 	all := view.Targets(c.service.Name)
 	rollout, ok := view.Configuration().Rollout(c.service.Name)
 	if !ok {
-		return c.untried(all, false)
+		return c.untried(vetted(all), false)
 	}
 	for _, group := range c.rollout.groups(rollout, h.mayUseNew()) {
 		members := make([]fireflymoor.Target, 0, len(all))
@@ -90,6 +91,26 @@
 	return nil
 }
 
+// vetted returns the targets that are not unvetted, or all of them if there is no other
+// that gets new work.
+func vetted(all []fireflymoor.Target) []fireflymoor.Target {
+	if !slices.ContainsFunc(all, func(t fireflymoor.Target) bool { return t.Unvetted }) {
+		return all
+	}
+	found := make([]fireflymoor.Target, 0, len(all))
+	working := false
+	for i := range all {
+		if !all[i].Unvetted {
+			found = append(found, all[i])
+			working = working || all[i].State != fireflymoor.Draining
+		}
+	}
+	if !working {
+		return all
+	}
+	return found
+}
+
 // mayUseNew reports whether what this node knows of roll-outs is recent enough to send
 // calls to a new version.
 func (h *Handler) mayUseNew() bool {
--- a/internal/caller/rollout_test.go
+++ b/internal/caller/rollout_test.go
@@ -24,8 +24,8 @@
 	drainingForwarder
 
 	rollout fireflymoor.Rollout
-	// without is a version that has no targets.
-	without string
+	// without is a version that has no targets, and unvetted one that is not vetted.
+	without, unvetted string
 	// respond returns the response of a version, or nil for a target that breaks off.
 	respond func(version string) *http.Response
 	tries   map[string]int
@@ -43,6 +43,8 @@
 				Team:    "team",
 				Version: version,
 				Slots:   20,
+
+				Unvetted: version == f.unvetted,
 			})
 		}
 	}
@@ -96,6 +98,19 @@
 	}
 }
 
+// TestUnvetted serves calls beside targets of a version that is not vetted. It must get
+// none, unless there is no other target.
+func TestUnvetted(t *testing.T) {
+	is := is.New(t)
+	f := newVersionForwarder(fireflymoor.Rollout{})
+	f.unvetted = "v3"
+	f.serve(200, true)
+	is.Equal(f.tries["v3"], 0)
+	is.True(f.tries["v2"] > 0)
+	targets := []fireflymoor.Target{{Unvetted: true}, {State: fireflymoor.Draining}}
+	is.Equal(len(vetted(targets)), 2)
+}
+
 func runningRollout(share float64) fireflymoor.Rollout {
 	return fireflymoor.Rollout{
 		Service:  "a",
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -87,7 +87,8 @@
 	p.running = running
 }
 
-// publish updates the metrics of a roll-out and writes a log line for each decision.
+// publish updates the metrics of a roll-out and, at the leader, writes a log line for
+// each decision.
 func (p *Promoter) publish(team string, rollout fireflymoor.Rollout) {
 	p.metrics.setState(team, rollout)
 	k := [2]string{team, rollout.Service}
@@ -95,14 +96,17 @@
 		return
 	}
 	p.logged[k] = rollout.Number
+	if !p.leading {
+		return
+	}
 	line := p.log.Info().Str("team", team).Str("service", rollout.Service).Str("target-version", rollout.Version).
 		Str("state", string(rollout.State)).Float64("share", rollout.Share).Str("reason", rollout.Reason).
-		Uint64("step", rollout.Step).Uint64("version", rollout.Number).Bool("leading", p.leading)
+		Uint64("step", rollout.Step).Uint64("version", rollout.Number)
 	if s := p.running[key{team: team, service: rollout.Service, started: rollout.Started.UnixMilli()}]; s != nil {
 		line = line.Int("old-calls", s.calls[0]).Int("old-failures", s.failures[0]).
 			Int("new-calls", s.calls[1]).Int("new-failures", s.failures[1])
 	}
-	line.Msg("rollout: decision in the log")
+	line.Msg("rollout: decided")
 }
 
 // supervise returns the state of a running roll-out.
--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// evidenceInterval is the least time between two messages with evidence of one
-	// sender. A message passes two senders, and must arrive within a second or so.
-	evidenceInterval = 500 * time.Millisecond
+	// evidenceInterval is the least time between two messages with the evidence of one
+	// node, and relayInterval that between two messages with the evidence of a zone. A
+	// bad version must lose its calls within 5 s of its bad responses.
+	evidenceInterval = time.Second
+	relayInterval    = 500 * time.Millisecond
 	// evidenceTimeout bounds the delivery of a message to one receiver.
 	evidenceTimeout = 500 * time.Millisecond
 	// activityInterval is how often a process records that it runs, and maxInactivity
@@ -30,8 +32,8 @@
 
 var errNoLeader = errors.New("no control replica took the evidence")
 
-// sendEvidence sends the evidence of this node to its zone's first reporter and, on
-// that node, the evidence of the zone to the leader. It is called on the sequencer.
+// sendEvidence sends the evidence of this node to its zone's first reporter. It is
+// called on the sequencer.
 func (n *node) sendEvidence(ctx context.Context) {
 	announcer := n.coordinator.Announcer()
 	reporters := announcer.Reporters(n.settings.Zone)
@@ -47,11 +49,16 @@
 		n.relay.Add(message.GetSamples())
 		n.evidence.Acknowledge(message.GetSequence())
 	}
+}
+
+// sendRelayed sends the evidence of a zone to the leader, on the zone's reporter. It is
+// called on the sequencer.
+func (n *node) sendRelayed(ctx context.Context) {
 	replicas := n.replicas()
 	n.deliverEvidence(ctx, n.relay, func(ctx context.Context, message *messenger.Evidence) error {
 		return n.submitEvidence(ctx, replicas, message)
 	})
-	n.relayFilter.Retain(func(name string) bool { return announcer.Fact(name) != nil })
+	n.relayFilter.Retain(func(name string) bool { return n.coordinator.Announcer().Fact(name) != nil })
 }
 
 // deliverEvidence sends the next message of a collector in the background, if it has
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -31,6 +31,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/sender"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
+	"github.com/fireflymoor/fireflymoor/internal/vetter"
 	"github.com/fireflymoor/fireflymoor/internal/waiter"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
 	"github.com/fireflymoor/fireflymoor/pkg/renderer"
@@ -79,6 +80,8 @@
 	relay       *collector.Collector
 	relayFilter *collector.Filter
 	activity    activity
+	// vetter is accessed only on the sequencer.
+	vetter *vetter.Vetter
 	// leaderIndex is the index of the replica that last took evidence.
 	leaderIndex atomic.Int64
 
@@ -112,6 +115,7 @@
 		evidence:    collector.New(settings.Name, m.boot),
 		relay:       collector.New(settings.Name, m.boot),
 		relayFilter: collector.NewFilter(),
+		vetter:      vetter.New(time.Now()),
 	}
 	n.remote = forwarder.NewRemote(m.dialer, n.packer, sender.WithBudget(m.heads))
 	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
@@ -227,6 +231,8 @@
 	group.Go(func() { n.sequencer.Every(workCtx, reportInterval, func() { n.sendReports(workCtx) }) })
 	group.Go(func() { n.expireLeases(workCtx) })
 	group.Go(func() { n.sequencer.Every(workCtx, evidenceInterval, func() { n.sendEvidence(workCtx) }) })
+	group.Go(func() { n.sequencer.Every(workCtx, relayInterval, func() { n.sendRelayed(workCtx) }) })
+	group.Go(func() { n.vet(workCtx) })
 	group.Go(func() { n.activity.watch(workCtx) })
 	if n.settings.Keys {
 		group.Go(func() { n.sequencer.Every(workCtx, ringInterval, n.pruneRing) })
@@ -367,7 +373,7 @@
 	n.viewPending = false
 	n.lastRebuild = time.Now()
 	targets := n.coordinator.Announcer().Targets()
-	view := n.View().WithTargets(targets)
+	view := n.View().WithTargets(n.vetter.Vet(targets, n.lastRebuild))
 	n.view.Store(&view)
 	n.tracker.Retain(targets)
 	n.remote.Retain(targets)
@@ -413,10 +419,8 @@
 	}
 }
 
-// confirmAt sends a Confirm request to one replica. If the replica did not admit
-// the request, it returns the time to wait before the next attempt, and 0
-// otherwise.
-func (n *node) confirmAt(ctx context.Context, replica loader.Replica) (time.Duration, error) {
+// requestConfirm sends a Confirm request to one replica.
+func (n *node) requestConfirm(ctx context.Context, replica loader.Replica) (*messenger.ConfirmReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	var reply *messenger.ConfirmReply
@@ -427,7 +431,17 @@
 	})
 	if err != nil {
 		n.log.Info().Str("replica", replica.Name).Err(err).Msg("config: not confirmed")
-		return 0, errors.Wrapf(err, "node: confirm at %s", replica.Name)
+	}
+	return reply, errors.Wrapf(err, "node: confirm at %s", replica.Name)
+}
+
+// confirmAt sends a Confirm request to one replica. If the replica did not admit
+// the request, it returns the time to wait before the next attempt, and 0
+// otherwise.
+func (n *node) confirmAt(ctx context.Context, replica loader.Replica) (time.Duration, error) {
+	reply, err := n.requestConfirm(ctx, replica)
+	if err != nil {
+		return 0, err
 	}
 	if reply.GetLaterMilliseconds() > 0 {
 		return time.Duration(reply.GetLaterMilliseconds()) * time.Millisecond, nil
--- a/view.go
+++ b/view.go
@@ -40,6 +40,9 @@
 	Address string
 	// Version is the version of the target's software, or empty if it gave none.
 	Version string
+	// Unvetted is set if the proxy does not know whether the version is to be rolled
+	// out. It counts only while no roll-out of the service was ever ordered.
+	Unvetted bool
 	// Slots is the number of calls that the target serves at once.
 	Slots int
 	// State is the target's state.
