--- a/internal/operator/rollout_test.go
+++ b/internal/operator/rollout_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -114,3 +116,57 @@
 	is.True(errors.As(err, &apiErr))
 	is.Equal(apiErr.Code, administrator.CodeNotFound)
 }
+
+// TestRolloutEndpoints orders, reads and aborts a roll-out through the administration
+// API with the client.
+func TestRolloutEndpoints(t *testing.T) {
+	is := is.New(t)
+	r := &rolloutReplica{
+		twoReplicas: newTwoReplicas(),
+	}
+	s := newTestService(r)
+	_, err := s.change(t.Context(), newRequest("1", 0, firstTemplate, firstValues))
+	is.NoErr(err)
+	server := httptest.NewServer(NewHandler(s, map[string]string{"team": "token", "other": "other"}))
+	defer server.Close()
+	addresses := []string{server.Listener.Addr().String()}
+	client := administrator.New(addresses, "token", time.Second)
+	codeOf := func(err error) string {
+		apiErr := &administrator.Error{}
+		is.True(errors.As(err, &apiErr))
+		return apiErr.Code
+	}
+	request := administrator.RolloutRequest{
+		Team:                 "team",
+		Service:              "a",
+		Version:              "v2",
+		DurationMilliseconds: 12_000,
+	}
+	_, err = administrator.New(addresses, "other", time.Second).StartRollout(t.Context(), request)
+	is.Equal(codeOf(err), administrator.CodeForbidden)
+	rollouts, err := client.Rollouts(t.Context(), "team")
+	is.NoErr(err)
+	is.Equal(len(rollouts), 0)
+	_, err = client.StartRollout(t.Context(), request)
+	is.NoErr(err)
+	other := request
+	other.Version = "v3"
+	_, err = client.StartRollout(t.Context(), other)
+	is.Equal(codeOf(err), administrator.CodeConflict)
+	other.DurationMilliseconds = math.MaxInt64
+	_, err = client.StartRollout(t.Context(), other)
+	is.Equal(codeOf(err), administrator.CodeInvalid)
+	rollout, err := client.Rollout(t.Context(), "team", "a")
+	is.NoErr(err)
+	is.Equal(rollout.State, administrator.RolloutRunning)
+	_, err = client.AbortRollout(t.Context(), "team", "a")
+	is.NoErr(err)
+	rollout, err = client.Rollout(t.Context(), "team", "a")
+	is.NoErr(err)
+	is.Equal(rollout.State, administrator.RolloutRolledBack)
+	_, err = client.Rollout(t.Context(), "team", "b")
+	is.Equal(codeOf(err), administrator.CodeNotFound)
+	records, err := client.History(t.Context())
+	is.NoErr(err)
+	is.Equal(records[0].Rollout, "a")
+}
