--- a/cmd/fireflymoor/main.go
+++ b/cmd/fireflymoor/main.go
@@ -51,6 +51,7 @@
 	Targets  targetsCommand  `cmd:"" help:"List the targets by state."`
 	Key      keyCommand      `cmd:"" help:"Work with the keys of tenants."`
 	Drain    drainCommand    `cmd:"" help:"Drain a node: send its targets no new calls."`
+	Rollout  rolloutCommand  `cmd:"" help:"Move a service's calls to targets of another version."`
 	Replica  replicaCommand  `cmd:"" help:"Manage the control replicas."`
 }
 
--- a/configuration.go
+++ b/configuration.go
@@ -152,6 +152,7 @@
 	tenants       []Tenant
 	tenantsByName map[string]int
 	tenantsByKey  map[[32]byte]int
+	rollouts      []Rollout
 }
 
 // NewConfiguration returns a new Configuration of team.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -82,6 +82,12 @@
 	// Claims prevents calls with the same idempotency key from running twice. If
 	// it is nil, keys are passed on like any other header.
 	Claims Claims
+	// Evidence records calls to services under roll-out. It may be nil.
+	Evidence Evidence
+	// IsCurrent reports whether the shares of roll-outs in the configuration may be
+	// used, which they may not in a process that was suspended. If it is nil, they
+	// always may.
+	IsCurrent func() bool
 	// Metrics counts calls.
 	Metrics *Metrics
 	// RouteLog receives one line for each pick of a target, and Log all other
@@ -130,6 +136,8 @@
 	// failedResponse is the response of a target that failed. It is returned
 	// if no other target responds.
 	failedResponse *http.Response
+	// rollout is the state that concerns the roll-out of the service.
+	rollout rolloutState
 	// grant is the granted claim on the call's idempotency key, or nil.
 	grant *claimer.Grant
 }
@@ -177,6 +185,7 @@
 		identity: a.identity,
 		body:     callBody,
 		start:    start,
+		rollout:  newRolloutState(),
 	}
 	h.options.Budget.RecordCall(service.Name, start)
 	if key != "" {
@@ -266,11 +275,13 @@
 	if c.route.Bulk {
 		c.request.Header.Set(annotator.Bulk, "yes")
 	}
+	observation := h.observe(c, pick.Target)
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
 	h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
 	if err != nil {
 		end()
 		h.recordFailure(ctx, c, pick.Target, outcome, err)
+		observation.recordError(ctx, c, outcome)
 		return nil, outcome, err
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -286,6 +297,7 @@
 		ReadCloser: response.Body,
 		onClose:    end,
 	}
+	observation.recordResponse(ctx, c, response, time.Since(now))
 	return response, outcome, nil
 }
 
