--- a/cmd/fireflymoor/main.go
+++ b/cmd/fireflymoor/main.go
@@ -52,6 +52,7 @@
 	Tenants  tenantsCommand  `cmd:"" help:"List a team's tenants in the accepted version."`
 	Key      keyCommand      `cmd:"" help:"Work with the keys of tenants."`
 	Drain    drainCommand    `cmd:"" help:"Drain a node: send its targets no new calls."`
+	Rollout  rolloutCommand  `cmd:"" help:"Move a service's calls to targets of another version."`
 	Replica  replicaCommand  `cmd:"" help:"Manage the control replicas."`
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -82,6 +82,12 @@
 	// Claims prevents calls with the same idempotency key from running twice. If
 	// it is nil, keys are passed on like any other header.
 	Claims Claims
+	// Evidence records calls to services under roll-out. It may be nil.
+	Evidence Evidence
+	// IsCurrent reports whether the shares of roll-outs in the configuration may be
+	// used, which they may not in a process that was suspended. If it is nil, they
+	// always may.
+	IsCurrent func() bool
 	// Metrics counts calls.
 	Metrics *Metrics
 	// RouteLog receives one line for each pick of a target, and Log all other
@@ -120,6 +126,9 @@
 	start   time.Time
 	// identity is on whose behalf the call is made.
 	identity identity
+	// inZone is set if the call stays in the availability zone because it is a bulk call
+	// and the zone has a target.
+	inZone bool
 	// tried holds the ids of the targets that the call was sent to.
 	tried []string
 	// runs counts the tries that a target may have run.
@@ -127,6 +136,8 @@
 	// failedResponse is the response of a target that failed. It is returned
 	// if no other target responds.
 	failedResponse *http.Response
+	// rollout is the state that concerns the roll-out of the service.
+	rollout rolloutState
 	// grant is the granted claim on the call's idempotency key, or nil.
 	grant *claimer.Grant
 }
@@ -174,13 +185,15 @@
 		identity: a.identity,
 		body:     callBody,
 		start:    start,
+		rollout:  newRolloutState(),
 	}
 	h.options.Budget.RecordCall(service.Name, start)
 	if key != "" {
 		h.serveKeyed(ctx, w, c, key)
-		return
+	} else {
+		h.serve(ctx, w, c)
 	}
-	h.serve(ctx, w, c)
+	receiver.FinishRequest(w, request)
 }
 
 // outgoingRequest returns a copy of a caller's request with the headers that
@@ -226,7 +239,7 @@
 			outcome = fireflymoor.Unknown
 		}
 		c.conclude(ctx, outcome)
-		receiver.RespondAtOnce(w, c.request)
+		c.abandonRequest(w)
 		status := failureStatus(ctx, c, outcome, err)
 		retryAfter := time.Duration(0)
 		if status != http.StatusUnauthorized {
@@ -260,11 +273,16 @@
 	c.request.Body, c.request.ContentLength = c.body.reader()
 	c.setPriorityHeaders(now)
 	c.setTenantHeaders()
+	if c.route.Bulk {
+		c.request.Header.Set(annotator.Bulk, "yes")
+	}
+	observation := h.observe(c, pick.Target)
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
 	h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
 	if err != nil {
 		end()
 		h.recordFailure(ctx, c, pick.Target, outcome, err)
+		observation.recordError(ctx, c, outcome)
 		return nil, outcome, err
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -280,6 +298,7 @@
 		ReadCloser: response.Body,
 		onClose:    end,
 	}
+	observation.recordResponse(ctx, c, response, time.Since(now))
 	return response, outcome, nil
 }
 
@@ -296,8 +315,8 @@
 }
 
 // setPriorityHeaders sets the call's rank and the time within which it should
-// be answered. A tenant's priority replaces that of the route. A nested call gets no such time, as its response is useful for
-// as long as its parent runs.
+// be answered. A tenant's priority replaces that of the route. A nested call gets no
+// such time, as its response is useful for as long as its parent runs.
 func (c *call) setPriorityHeaders(now time.Time) {
 	rank := c.route.Priority
 	switch {
