--- a/internal/operator/labelled.go
+++ b/internal/operator/labelled.go
@@ -31,6 +31,9 @@
 	ParentLabel uint64
 	// Inputs are the template and the values.
 	Inputs fireflymoor.Inputs
+	// Private is a text that only the control replicas keep with the configuration,
+	// such as secrets that the operator reads back.
+	Private string
 }
 
 // Accept submits a labelled change to the replicated log and returns its outcome.
@@ -65,6 +68,7 @@
 		ParentLabel:      l.ParentLabel,
 		Template:         l.Inputs.Template,
 		Values:           l.Inputs.Values,
+		Private:          l.Private,
 		TemplateHash:     template[:],
 		ValuesHash:       values[:],
 		RenderedHash:     rendered[:],
@@ -79,9 +83,11 @@
 func (s *Service) packTemplate(ctx context.Context, change *messenger.Change) error {
 	label := uint64(0)
 	inputs := fireflymoor.Inputs{}
+	private := ""
 	err := s.replica.Read(ctx, func(accepted *recorder.Recorder) {
 		label = accepted.Label(change.GetTeam())
 		inputs, _ = accepted.Inputs(change.GetTeam())
+		private = accepted.Private(change.GetTeam())
 	})
 	if err != nil || label != change.GetParentLabel() || label == 0 {
 		return err
@@ -90,6 +96,10 @@
 	if err != nil {
 		return errors.Wrap(err, "operator: pack a change")
 	}
+	if change.GetPrivate() == private {
+		change.Private = ""
+		change.KeepPrivate = true
+	}
 	base := fireflymoor.HashOf(inputs.Template)
 	change.Template = ""
 	change.PackedTemplate = packed
@@ -97,27 +107,39 @@
 	return nil
 }
 
-// NewestConfiguration returns the label and the configuration of a team's newest
-// version, as confirmed by a quorum after the call began. The label is 0 if no
-// labelled version of the team is accepted.
-func (s *Service) NewestConfiguration(ctx context.Context, team string) (uint64, fireflymoor.Configuration, error) {
+// A NewestConfiguration is the newest accepted configuration of a team.
+type NewestConfiguration struct {
+	// Label is the operator's number for it, or 0 if no labelled version of the team is
+	// accepted.
+	Label uint64
+	// Configuration is the rendered form.
+	Configuration fireflymoor.Configuration
+	// Private is the text that only the control replicas keep with it.
+	Private string
+}
+
+// NewestConfiguration returns a team's newest version, as confirmed by a quorum after
+// the call began.
+func (s *Service) NewestConfiguration(ctx context.Context, team string) (NewestConfiguration, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	if err := s.replica.Confirm(ctx); err != nil {
-		return 0, fireflymoor.Configuration{}, err
+		return NewestConfiguration{}, err
 	}
-	label := uint64(0)
+	newest := NewestConfiguration{}
 	inputs := fireflymoor.Inputs{}
 	err := s.replica.Read(ctx, func(accepted *recorder.Recorder) {
-		label = accepted.Label(team)
+		newest.Label = accepted.Label(team)
+		newest.Private = accepted.Private(team)
 		inputs, _ = accepted.Inputs(team)
 	})
-	if err != nil || label == 0 {
-		return 0, fireflymoor.Configuration{}, err
+	if err != nil || newest.Label == 0 {
+		return NewestConfiguration{}, err
 	}
 	rendered, err := s.renderer.Render(team, inputs)
 	if err != nil {
-		return 0, fireflymoor.Configuration{}, renderError(err)
+		return NewestConfiguration{}, renderError(err)
 	}
-	return label, rendered.Configuration, nil
+	newest.Configuration = rendered.Configuration
+	return newest, nil
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -28,6 +28,7 @@
 	records     []*messenger.ChangeRecord
 	recordsByID map[string]*messenger.ChangeRecord
 	labels      map[string]uint64
+	private     map[string]string
 	// numbers holds, for each team, the number of the version that last changed its
 	// template or values, which a change without a label names as its parent.
 	numbers map[string]uint64
@@ -41,6 +42,7 @@
 		inputs:      map[string]fireflymoor.Inputs{},
 		recordsByID: map[string]*messenger.ChangeRecord{},
 		labels:      map[string]uint64{},
+		private:     map[string]string{},
 		numbers:     map[string]uint64{},
 		rollouts:    map[string][]fireflymoor.Rollout{},
 	}
@@ -141,6 +143,9 @@
 	r.numbers[c.GetTeam()] = r.manifest.Number()
 	if c.GetLabel() > 0 {
 		r.labels[c.GetTeam()] = c.GetLabel()
+		if !c.GetKeepPrivate() {
+			r.private[c.GetTeam()] = c.GetPrivate()
+		}
 	}
 	return nil
 }
@@ -179,6 +184,12 @@
 	return r.labels[team]
 }
 
+// Private returns the private part of a team's accepted change, which is not
+// distributed to nodes, or "" if it has none.
+func (r *Recorder) Private(team string) string {
+	return r.private[team]
+}
+
 // Number returns the number of the version that last changed a team's template or
 // values, or 0 if it has none.
 func (r *Recorder) Number(team string) uint64 {
@@ -212,6 +223,7 @@
 		Inputs:   map[string]*messenger.Inputs{},
 		Records:  r.records,
 		Labels:   r.labels,
+		Private:  r.private,
 	}
 	for team, inputs := range r.inputs {
 		state.Inputs[team] = &messenger.Inputs{
@@ -252,6 +264,9 @@
 	for team, label := range state.GetLabels() {
 		r.labels[team] = label
 	}
+	for team, private := range state.GetPrivate() {
+		r.private[team] = private
+	}
 	for _, record := range state.GetRecords() {
 		r.addRecord(record)
 	}
