--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -11,14 +11,15 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
-	"storj.io/drpc/drpcmux"
 
 	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/internal/applier"
 	"github.com/fireflymoor/fireflymoor/internal/balancer"
 	"github.com/fireflymoor/fireflymoor/internal/caller"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
 	"github.com/fireflymoor/fireflymoor/internal/forwarder"
+	"github.com/fireflymoor/fireflymoor/internal/linker"
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/packer"
@@ -26,6 +27,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
+	"github.com/fireflymoor/fireflymoor/internal/sender"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
 	"github.com/fireflymoor/fireflymoor/internal/waiter"
@@ -88,6 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
+	m.messages = acceptor.NewBudget(linker.NodeMessageMemory)
 	n := &node{
 		member:  m,
 		applier: applier.New(settings.Team, renderer.New(parser.New()), m.asserter),
@@ -96,7 +99,7 @@
 		packer:  packer.New(settings.Name, m.dialect().CommonHeaders()...),
 		claims:  newClaims(settings, m.client),
 	}
-	n.remote = forwarder.NewRemote(m.dialer, n.packer)
+	n.remote = forwarder.NewRemote(m.dialer, n.packer, sender.WithBudget(m.heads))
 	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
 	n.view.Store(&empty)
 	n.targets = target.NewRegistry(settings.Name, settings.Lease, m.log, n.targetsChanged, func(ctx context.Context) error {
@@ -112,7 +115,7 @@
 
 // initServers creates the HTTP servers of the node.
 func (n *node) initServers() {
-	local := target.NewServer(n.targets, n.dialect(), n.dialer)
+	local := target.NewServer(n.targets, n.dialect(), n.dialer, sender.WithBudget(n.heads))
 	var claims caller.Claims
 	if n.settings.Keys {
 		claims = n.claims.claimer
@@ -197,12 +200,12 @@
 
 // start starts the parts specific to a node.
 func (n *node) start(workCtx context.Context, group *sync.WaitGroup) {
-	n.serve(group, n.callers, n.settings.Callers)
-	n.serve(group, n.calls, n.settings.Calls)
-	n.serve(group, n.platform, n.settings.Platform)
+	n.serve(group, n.callers, "callers", n.settings.Callers)
+	n.serve(group, n.calls, "calls", n.settings.Calls)
+	n.serve(group, n.platform, "platform", n.settings.Platform)
 	if n.adapter != nil {
-		n.serve(group, n.ready, n.settings.Ready)
-		n.serve(group, n.announcements, n.settings.Announcements)
+		n.serve(group, n.ready, "ready", n.settings.Ready)
+		n.serve(group, n.announcements, "announcements", n.settings.Announcements)
 	}
 	group.Go(func() { n.confirm(workCtx) })
 	group.Go(func() { n.sequencer.Every(workCtx, reportInterval, func() { n.sendReports(workCtx) }) })
@@ -228,8 +231,8 @@
 	n.shutdown(n.callers, n.calls, n.platform, n.ready, n.announcements)
 }
 
-func (n *node) mux() *drpcmux.Mux {
-	mux := drpcmux.New()
+func (n *node) mux() *linker.Mux {
+	mux := linker.NewMux()
 	_ = messenger.DRPCRegisterOverlay(mux, &nodeServer{node: n})
 	_ = messenger.DRPCRegisterClaims(mux, &claimsServer{claims: n.claims})
 	return mux
--- a/internal/sender/transport.go
+++ b/internal/sender/transport.go
@@ -8,10 +8,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/internal/packer"
 )
 
@@ -43,6 +45,9 @@
 	matches func(request, response http.Header) bool
 	// packer packs and unpacks headers. It is nil if headers are sent unpacked.
 	packer *packer.Packer
+	// budget bounds the memory for the heads of responses. It is nil if there is no
+	// bound on their sum.
+	budget *acceptor.Budget
 
 	lock     sync.Mutex
 	conns    map[string][]*conn
@@ -70,6 +75,14 @@
 	}
 }
 
+// WithBudget makes a Transport charge the heads of responses to a budget until the
+// responses are closed.
+func WithBudget(budget *acceptor.Budget) Option {
+	return func(t *Transport) {
+		t.budget = budget
+	}
+}
+
 // NewTransport returns a new Transport that opens connections with dial. A
 // connection is not reused after it has been idle for longer than idle or than
 // the keep-alive time that its peer announced. With an idle time of 0, no
@@ -95,7 +108,13 @@
 	if err != nil {
 		return nil, errors.Mark(err, errNotSent)
 	}
-	stop := context.AfterFunc(ctx, c.abort)
+	var responded atomic.Bool
+	stop := context.AfterFunc(ctx, func() {
+		if responded.Load() && IsLong(request) {
+			awaitSent(ctx, c.sent)
+		}
+		c.abort()
+	})
 	c.send(t.packed(request))
 	response, err := t.read(c, request)
 	if err != nil {
@@ -106,13 +125,15 @@
 		}
 		return nil, err
 	}
-	if mayBeLong(request) {
+	responded.Store(true)
+	if IsLong(request) {
 		response.Request = request.WithContext(context.WithValue(ctx, sentKey{}, c.sent))
 	}
 	response.Body = &body{
 		ReadCloser: response.Body,
 		remaining:  response.ContentLength,
 		onEnd: func(complete bool) {
+			c.source.release()
 			if stop() && complete && !response.Close && c.isIdle() {
 				t.put(request.URL.Host, c, keepAlive(response.Header))
 				return
@@ -127,15 +148,33 @@
 type sentKey struct{}
 
 // AwaitSent waits until the request of a response has been sent, in full or as far
-// as possible, or its context is done. A peer that responds before it has read a
-// long request may read the rest afterwards. Closing the response earlier ends the
-// sending.
+// as possible, or the deadline of its context has passed. A peer that responds before
+// it has read a long request may read the rest afterwards. Closing the response earlier
+// ends the sending.
 func AwaitSent(response *http.Response) {
 	if sent := sending(response); sent != nil {
-		select {
-		case <-sent:
-		case <-response.Request.Context().Done():
-		}
+		awaitSent(response.Request.Context(), sent)
+	}
+}
+
+// awaitSent waits until sent is closed or the deadline of ctx has passed. Its
+// cancellation alone does not end the wait: a caller may leave once it has sent all and
+// got the response. If it leaves before it has sent all, the sending fails.
+func awaitSent(ctx context.Context, sent <-chan struct{}) {
+	select {
+	case <-sent:
+		return
+	case <-ctx.Done():
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return
+	}
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-sent:
+	case <-timer.C:
 	}
 }
 
@@ -213,7 +252,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw), nil
+	return newConn(raw, t.budget), nil
 }
 
 // take removes and returns the most recently used idle connection, or nil if
