--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -62,6 +62,7 @@
 	// progressAt is when the target last answered or refused a call, or when a
 	// call began while no other was in flight, whichever is later.
 	progressAt atomic.Int64
+	report     report
 }
 
 // New returns a new Tracker for the proxy of a node in an availability zone.
@@ -104,8 +105,10 @@
 	if e.inFlight.Add(1) == 1 {
 		e.progressAt.Store(now.UnixNano())
 	}
+	endPick := e.report.pick()
 	return func() {
 		e.inFlight.Add(-1)
+		endPick()
 	}
 }
 
@@ -187,7 +190,10 @@
 		InFlight:     int(e.inFlight.Load()),
 		Load:         load,
 		ZoneLoad:     e.zone.current(now),
+		ZoneFull:     e.zone.full.load(),
 		Slowness:     e.currentSlowness(now),
+		Utilization:  e.utilization(target.Slots, now),
+		RelativeHold: e.relativeHold(now),
 		Stalled:      e.stalled(now),
 		Weight:       weight,
 		SameZone:     target.Zone == t.zone,
--- a/view.go
+++ b/view.go
@@ -100,9 +100,20 @@
 	// availability zone recently reported to this proxy. A refusal counts as 2.
 	// It is 0 if there was no recent report.
 	ZoneLoad float64
+	// ZoneFull is the share of the recent reports of targets of the same service and
+	// availability zone by which all their slots were in use.
+	ZoneFull float64
 	// Slowness is the recent latency of this proxy's calls at the target, as a
 	// multiple of the usual latency on their routes. It is 1 if it is unknown.
 	Slowness float64
+	// Utilization is the expected share of the target's slots that calls of all
+	// proxies use or wait for. It is the last report of the target's load, which
+	// approaches ZoneLoad as it ages, and this proxy's picks since. It is more
+	// than 1 while calls wait.
+	Utilization float64
+	// RelativeHold is how long calls hold a slot of the target, as a multiple of
+	// the mean of its service and availability zone. It is 1 if it is unknown.
+	RelativeHold float64
 	// Stalled reports whether calls of this proxy are in flight to the target and
 	// none has returned for far longer than calls usually take there.
 	Stalled bool
@@ -122,4 +133,7 @@
 	Target Target
 	// Reason is why the target was chosen, for the log.
 	Reason string
+	// MayRedirect reports whether another target probably has a free slot, so that
+	// the target's node may send the call back instead of letting it wait.
+	MayRedirect bool
 }
