internal/caller: balance evenly and send calls of full targets back

With `balance = even` in the limits the nodes choose targets by their expected utilization. The node of a target reports its load with the time for which calls hold a slot and the target's own pace, on responses and on refusals, in the header that carried the load before. Its counts may be raised by what the target reports of itself, as calls that were given up may still run there, but never lowered.

A call that can be tried elsewhere says how long it may wait for a slot. If it would wait longer, the target's node refuses it as not run and names a target that this node's own calls have recently found free. Bodies over 4 KiB are not sent twice over the narrow links.

`balance = auto` does this only for services whose targets report their pace. The default is two-choices, for which nothing changes. New metrics count picks by reason and calls that were sent back, and record the time in the queue.

--- a/configuration.go
+++ b/configuration.go
@@ -111,6 +111,26 @@
 	return names
 }
 
+// Balance is how nodes choose the targets of calls.
+type Balance int
+
+// The kinds of balance.
+const (
+	// BalanceTwoChoices chooses the better one of two targets.
+	BalanceTwoChoices Balance = iota
+	// BalanceEven makes the utilization of targets even. The node of a full target may
+	// send a call back, so that it is tried at another target.
+	BalanceEven
+	// BalanceAuto is BalanceEven for the services whose targets report their pace, and
+	// BalanceTwoChoices for others.
+	BalanceAuto
+)
+
+// String returns the name that a configuration gives the kind.
+func (b Balance) String() string {
+	return [...]string{"two-choices", "even", "auto"}[b]
+}
+
 // Limits are the limits of a team's proxies that don't belong to one route.
 type Limits struct {
 	// RetryBudget is the maximum share of retries among recent calls, in percent.
@@ -118,6 +138,8 @@
 	// EjectShare is the maximum share of a service's targets that one proxy
 	// may eject at once, in percent.
 	EjectShare int
+	// Balance is how nodes choose the targets of calls.
+	Balance Balance
 	// MaxBody is the maximum size of a call's body on a route that sets none, in
 	// bytes, or 0 if it is not set.
 	MaxBody int64
--- a/dialect.go
+++ b/dialect.go
@@ -32,6 +32,8 @@
 	Err error
 	// NotRun reports whether the target refused the call and will not run it.
 	NotRun bool
+	// Load is the load that the target reports, or the zero value.
+	Load TargetLoad
 }
 
 // A Refusal is the response to a call that has no response from a target.
--- a/internal/annotator/annotator.go
+++ b/internal/annotator/annotator.go
@@ -4,13 +4,18 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/fireflymoor/fireflymoor"
 )
 
+const percent = 100
+
 // Headers between callers and the system.
 const (
 	// Outcome is the outcome of a call: not-run, unknown or answered.
@@ -49,10 +54,20 @@
 	Wait = "Fireflymoor-Wait"
 	// RefusedByTarget marks a refusal of a call that had reached the target.
 	RefusedByTarget = "Fireflymoor-Arrived"
+	// MaxWait is the longest wait for a slot, in milliseconds, of a call that can be
+	// tried at another target instead. Without it a call may wait for as long as it is
+	// likely to be answered in time.
+	MaxWait = "Fireflymoor-Max-Wait"
+	// Neighbor is the id of a target that a refusing node knows to have a free slot.
+	Neighbor = "Fireflymoor-Neighbor"
+	// Bulk marks a call of a route with large responses that can wait.
+	Bulk = "Fireflymoor-Bulk"
 	// Origin is the service of the instance that made a call.
 	Origin = "Fireflymoor-Origin"
 	// Load is the number of calls in flight and waiting at a target as a multiple
-	// of its slots. It is usually above 1 while calls wait.
+	// of its slots. It is usually above 1 while calls wait. The time for which calls
+	// hold a slot, in milliseconds, and the target's pace, in percent, may follow it,
+	// separated by commas. A pace of 100 is left out.
 	Load = "Fireflymoor-Load"
 	// Packed combines most of these headers and other headers in one header.
 	Packed = "Ffm"
@@ -60,7 +75,7 @@
 
 var (
 	// internalHeaders are the headers between nodes.
-	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, Load, Packed}
+	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, MaxWait, Neighbor, Bulk, Load, Packed}
 	// hopByHop are the headers that apply to a single connection only.
 	hopByHop = []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
@@ -151,12 +166,41 @@
 	h.Set(Load, strconv.FormatFloat(load, 'f', 2, 64))
 }
 
-// TakeLoad reads a target's load and removes it from the header. It reports
-// false if there is no valid load.
-func TakeLoad(h http.Header) (float64, bool) {
-	load, err := strconv.ParseFloat(h.Get(Load), 64)
+// SetLoadReport writes the report of a target's load to the header.
+func SetLoadReport(h http.Header, report fireflymoor.LoadReport) {
+	text := strconv.FormatFloat(report.Load, 'f', 2, 64) + "," + strconv.FormatInt(report.Hold.Milliseconds(), 10)
+	if pace := math.Round(report.Pace * percent); pace != percent {
+		text += "," + strconv.FormatFloat(pace, 'f', 0, 64)
+	}
+	h.Set(Load, text)
+}
+
+// TakeLoadReport reads the report of a target's load and removes it from the header.
+// A report that has only the load has no hold time and a pace of 1. It reports false
+// if there is no valid report.
+func TakeLoadReport(h http.Header) (fireflymoor.LoadReport, bool) {
+	fields := strings.Split(h.Get(Load), ",")
 	h.Del(Load)
-	return load, err == nil
+	report := fireflymoor.LoadReport{
+		Pace: 1,
+	}
+	var values [3]float64
+	if len(fields) > len(values) {
+		return report, false
+	}
+	for i, field := range fields {
+		value, err := strconv.ParseFloat(field, 64)
+		if err != nil || !(value >= 0) || value > math.MaxInt32 {
+			return report, false
+		}
+		values[i] = value
+	}
+	report.Load = values[0]
+	report.Hold = time.Duration(values[1]) * time.Millisecond
+	if len(fields) == len(values) {
+		report.Pace = values[2] / percent
+	}
+	return report, true
 }
 
 // SetMilliseconds writes a duration in milliseconds to the named header.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -62,6 +62,12 @@
 	Viewer fireflymoor.Viewer
 	// Balancer picks a target for each try.
 	Balancer fireflymoor.Balancer
+	// EvenBalancer picks a target instead of Balancer if the configuration says that
+	// the calls are balanced evenly.
+	EvenBalancer fireflymoor.Balancer
+	// LocalLoad returns the current load of a target of this instance. It reports
+	// false if the target is not known. It may be nil.
+	LocalLoad func(id string) (load float64, ok bool)
 	// Forwarder sends calls to targets.
 	Forwarder fireflymoor.Forwarder
 	// Tracker tracks the load of targets.
@@ -122,6 +128,12 @@
 	// failedResponse is the response of a target that failed. It is returned
 	// if no other target responds.
 	failedResponse *http.Response
+	// mayRedirect is set if the node of the target of the current try may send the
+	// call back instead of letting it wait.
+	mayRedirect bool
+	// neighbor is the id of the target that the node of a full target has named, or
+	// empty.
+	neighbor string
 	// grant is the granted claim on the call's idempotency key, or nil.
 	grant *claimer.Grant
 }
@@ -250,14 +262,18 @@
 			Str("target", pick.Target.ID).Str("zone", pick.Target.Zone).
 			Int("try", len(c.tried)).Str("reason", pick.Reason).Msg("caller: route")
 	}
+	h.options.Metrics.picks.WithLabelValues(pick.Reason).Inc()
 	c.tried = append(c.tried, pick.Target.ID)
+	c.mayRedirect = pick.MayRedirect && h.mayRedirect(ctx, c)
 	c.request.Header.Set(annotator.CallID, h.tryID(c.id))
 	end := h.options.Tracker.Begin(pick.Target, now)
 	c.request.Header.Set(annotator.TargetID, pick.Target.ID)
 	c.request.Body, c.request.ContentLength = c.body.reader()
 	c.setPriorityHeaders(now)
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
-	h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
+	if !c.mayRedirect || !isSaturated(outcome, err) {
+		h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
+	}
 	if err != nil {
 		end()
 		h.recordFailure(ctx, c, pick.Target, outcome, err)
@@ -269,8 +285,8 @@
 		h.options.Ejector.RecordSuccess(pick.Target.ID)
 	}
 	h.options.Tracker.RecordResponse(pick.Target, c.route.Name, time.Since(now), time.Now())
-	if load, known := annotator.TakeLoad(response.Header); known {
-		h.options.Tracker.SetLoad(pick.Target, load, time.Now())
+	if report, known := annotator.TakeLoadReport(response.Header); known {
+		h.recordReport(c, pick.Target, report)
 	}
 	response.Body = &trackedBody{
 		ReadCloser: response.Body,
@@ -291,8 +307,18 @@
 	return outcome == fireflymoor.NotRun && errors.Is(err, fireflymoor.ErrBusy) && !errors.Is(err, fireflymoor.ErrRefusedByTarget)
 }
 
-// setPriorityHeaders sets the call's rank and the time within which it should
-// be answered. A nested call gets no such time, as its response is useful for
+// recordReport records the load that a target's node reported.
+func (h *Handler) recordReport(c *call, target fireflymoor.Target, report fireflymoor.LoadReport) {
+	balance := c.view.Configuration().Limits().Balance
+	if balance == fireflymoor.BalanceEven || balance == fireflymoor.BalanceAuto && report.Hold > 0 {
+		h.options.Tracker.RecordReport(target, report, time.Now())
+		return
+	}
+	h.options.Tracker.SetLoad(target, report.Load, time.Now())
+}
+
+// setPriorityHeaders sets the call's rank, the longest wait for a slot and the time
+// within which it should be answered. A nested call gets no such time, as its response is useful for
 // as long as its parent runs.
 func (c *call) setPriorityHeaders(now time.Time) {
 	rank := c.route.Priority
@@ -300,6 +326,10 @@
 		rank = nestedRank
 	}
 	c.request.Header.Set(annotator.Rank, strconv.Itoa(rank))
+	c.request.Header.Del(annotator.MaxWait)
+	if c.mayRedirect {
+		annotator.SetMilliseconds(c.request.Header, annotator.MaxWait, redirectWait)
+	}
 	if !c.nested && c.route.Objective > 0 {
 		within := max(c.route.Objective-now.Sub(c.start), time.Millisecond)
 		annotator.SetMilliseconds(c.request.Header, annotator.Objective, within)
--- a/internal/caller/candidates.go
+++ b/internal/caller/candidates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/balancer"
 )
 
 // untried returns the targets of a team in the given state that the call has
@@ -50,5 +51,42 @@
 	for i := range eligible {
 		candidates = append(candidates, h.options.Tracker.Candidate(eligible[i], c.service.SlowStart, now))
 	}
-	return h.options.Balancer.Pick(notStalled(candidates), now)
+	candidates = notStalled(candidates)
+	if h.isEven(c) {
+		return h.pickEven(c, candidates, now)
+	}
+	return h.options.Balancer.Pick(candidates, now)
+}
+
+// isEven reports whether the calls of the call's service are balanced evenly.
+func (h *Handler) isEven(c *call) bool {
+	balance := c.view.Configuration().Limits().Balance
+	return balance == fireflymoor.BalanceEven ||
+		balance == fireflymoor.BalanceAuto && h.options.Tracker.HasReports(c.service.Name)
+}
+
+// pickEven chooses the target that the node of a full target has named, if it is a
+// candidate, or the one that the even balancer picks. The load of this instance's
+// target is known exactly.
+func (h *Handler) pickEven(c *call, candidates []fireflymoor.Candidate, now time.Time) (fireflymoor.Pick, bool) {
+	for i := range candidates {
+		if !candidates[i].SameInstance || h.options.LocalLoad == nil {
+			continue
+		}
+		if load, ok := h.options.LocalLoad(candidates[i].Target.ID); ok {
+			candidates[i].Utilization = load
+		}
+	}
+	pick, ok := h.options.EvenBalancer.Pick(candidates, now)
+	if c.neighbor == "" {
+		return pick, ok
+	}
+	for i := range candidates {
+		if candidates[i].Target.ID == c.neighbor {
+			pick.Target = candidates[i].Target
+			pick.Reason = balancer.ReasonNeighbor
+		}
+	}
+	c.neighbor = ""
+	return pick, ok
 }
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -13,6 +13,7 @@
 	calls       *prometheus.CounterVec
 	failedTries *prometheus.CounterVec
 	claims      *prometheus.CounterVec
+	picks       *prometheus.CounterVec
 	duration    prometheus.Histogram
 }
 
@@ -31,13 +32,17 @@
 			Name: "fireflymoor_claims_total",
 			Help: "Calls with an idempotency key, by what their keepers said.",
 		}, []string{"result"}),
+		picks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflymoor_picks_total",
+			Help: "Choices of a target, by reason.",
+		}, []string{"reason"}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "fireflymoor_call_seconds",
 			Help:    "Time from a call's arrival to the head of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
 		}),
 	}
-	registry.MustRegister(m.calls, m.failedTries, m.claims, m.duration)
+	registry.MustRegister(m.calls, m.failedTries, m.claims, m.picks, m.duration)
 	return m
 }
 
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -32,12 +32,24 @@
 		h.options.Ejector.RecordDraining(target.ID, time.Now())
 		return
 	case errors.Is(err, fireflymoor.ErrBusy):
-		h.options.Tracker.RecordRefusal(target, time.Now())
+		h.recordRefusal(c, target, err)
 		return
 	}
 	h.options.Ejector.RecordFailure(target.ID, time.Now())
 }
 
+// recordRefusal records the load that a refusal reported, and the target that it
+// named. Without a report the target counts as overloaded.
+func (h *Handler) recordRefusal(c *call, target fireflymoor.Target, err error) {
+	busy := &fireflymoor.BusyError{}
+	if !errors.As(err, &busy) || busy.Report == nil || c.view.Configuration().Limits().Balance == fireflymoor.BalanceTwoChoices {
+		h.options.Tracker.RecordRefusal(target, time.Now())
+		return
+	}
+	h.options.Tracker.RecordReport(target, *busy.Report, time.Now())
+	c.neighbor = busy.Neighbor
+}
+
 // respond sends a target's response to the caller.
 func (h *Handler) respond(ctx context.Context, w http.ResponseWriter, c *call, response *http.Response) {
 	if c.grant != nil {
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -20,8 +20,25 @@
 	maxDelayDivisor = 4
 	// timeLeftDivisor bounds the delay to the time left divided by it.
 	timeLeftDivisor = 3
+	// redirectWait is the wait for a slot above which a call is sent back while it can
+	// be tried at another target. A further try takes about as long.
+	redirectWait = 5 * time.Millisecond
+	// minRedirectTime is the time that a call must have left to be sent back.
+	minRedirectTime = 100 * time.Millisecond
+	// maxRedirectBody bounds the body of a call that is sent back, in bytes. It crosses
+	// the link for each try, which takes 8 ms at 3.9 Mbit/s.
+	maxRedirectBody = 4 << 10
 )
 
+// mayRedirect reports whether a target's node may send back a call whose current try
+// is already counted. The last try of a call waits for its slot.
+func (h *Handler) mayRedirect(ctx context.Context, c *call) bool {
+	deadline, ok := ctx.Deadline()
+	return len(c.tried) < h.options.RefusalRate.MaxTries(c.service.Name, maxTries) &&
+		0 <= c.body.length && c.body.length <= maxRedirectBody && c.body.replayable() &&
+		(!ok || time.Until(deadline) > minRedirectTime)
+}
+
 // mayRetry reports whether the call may be tried once more, and waits for the
 // backoff if so. A call that was not run may be tried elsewhere whatever its
 // method, a call that may have run only if its route lets the method repeat.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -339,7 +339,11 @@
 // refusalError returns the error for a call that another node refused.
 func refusalError(header http.Header, reason string) error {
 	busy := &fireflymoor.BusyError{
-		Wait: annotator.Milliseconds(header, annotator.Wait),
+		Wait:     annotator.Milliseconds(header, annotator.Wait),
+		Neighbor: header.Get(annotator.Neighbor),
+	}
+	if report, ok := annotator.TakeLoadReport(header); ok {
+		busy.Report = &report
 	}
 	err := errors.Wrapf(busy, "forwarder: %s", reason)
 	if header.Get(annotator.Draining) != "" {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -63,6 +63,10 @@
 	// Objective is the time within which the call should be answered, or 0 if only
 	// its deadline matters.
 	Objective time.Duration
+	// MaxWait is the longest expected wait with which the call is queued, or 0 if
+	// there is no such bound. A call that would wait longer is refused, because it can
+	// be tried at another target.
+	MaxWait time.Duration
 }
 
 // A Limiter bounds the number of calls in flight and waiting at one target.
@@ -121,6 +125,12 @@
 		l.lock.Unlock()
 		return nil
 	}
+	if wait := l.expectedWait(l.position(ticket.Rank)); 0 < ticket.MaxWait && ticket.MaxWait < wait {
+		l.lock.Unlock()
+		return &fireflymoor.BusyError{
+			Wait: wait,
+		}
+	}
 	w, err := l.enqueue(ctx, ticket)
 	l.lock.Unlock()
 	if err != nil {
@@ -261,6 +271,15 @@
 	return float64(l.inFlight+len(l.waiting)) / float64(max(l.slots, 1))
 }
 
+// Report returns the load without a number of calls that are about to end, and the
+// moving average of the time for which calls hold a slot. The time is 0 before any
+// call has ended.
+func (l *Limiter) Report(ending int) (load float64, hold time.Duration) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return float64(max(l.inFlight+len(l.waiting)-ending, 0)) / float64(max(l.slots, 1)), l.meanHold
+}
+
 // InFlight returns the number of calls that hold a slot.
 func (l *Limiter) InFlight() int {
 	l.lock.Lock()
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -5,9 +5,12 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/fireflymoor/fireflymoor"
 )
 
 // TestSlotsAndQueue checks that a call waits while all slots are in use, and that
@@ -95,3 +98,31 @@
 		l.Release(Ticket{}, time.Millisecond)
 	}
 }
+
+// TestMaxWait fills a target whose calls hold a slot for 100 ms. A call that can be
+// tried elsewhere must be refused at once, and another call must wait.
+func TestMaxWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := New(2, 10)
+		ticket := Ticket{MaxWait: 5 * time.Millisecond}
+		for range 2 {
+			is.NoErr(l.Acquire(t.Context(), ticket))
+			l.Release(ticket, 100*time.Millisecond)
+		}
+		for range 2 {
+			is.NoErr(l.Acquire(t.Context(), ticket)) // a free slot is used
+		}
+		busy := &fireflymoor.BusyError{}
+		is.True(errors.As(l.Acquire(t.Context(), ticket), &busy))
+		is.Equal(busy.Wait, 50*time.Millisecond)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			l.Release(ticket, 100*time.Millisecond)
+		}()
+		is.NoErr(l.Acquire(t.Context(), Ticket{}))
+		load, hold := l.Report(1)
+		is.Equal(load, 0.5)
+		is.Equal(hold, 100*time.Millisecond)
+	})
+}
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -31,10 +31,7 @@
 		l.meanHold = ticket.Objective / initialHoldDivisor
 	}
 	w := l.newWaiter(ctx, ticket, now)
-	position := len(l.waiting)
-	for position > 0 && l.waiting[position-1].rank > w.rank {
-		position--
-	}
+	position := l.position(w.rank)
 	if wait := l.expectedWait(l.grantsBefore(w, l.waiting[:position])); hasPassed(w.softDeadline, now.Add(wait)) {
 		return nil, &fireflymoor.BusyError{
 			Wait: wait,
@@ -48,6 +45,15 @@
 	return w, nil
 }
 
+// position returns the position in the queue of a further call of a rank.
+func (l *Limiter) position(rank int) int {
+	position := len(l.waiting)
+	for position > 0 && l.waiting[position-1].rank > rank {
+		position--
+	}
+	return position
+}
+
 // maxWait returns how long a call of a rank may wait if it is to be answered
 // within its objective.
 func (l *Limiter) maxWait(rank int, objective time.Duration) time.Duration {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -113,13 +113,15 @@
 		ID: request.Header.Get(annotator.TargetID),
 	}
 	RespondAtOnce(w, request)
+	began := time.Now()
 	response, outcome, err := r.forwarder.Forward(ctx, target, request)
 	if err != nil {
 		if outcome == fireflymoor.NotRun {
 			state = registrar.NotRun
 		}
 		setRefusalHeaders(w.Header(), err)
-		r.log.Info().Str("call", id).Str("target", target.ID).Stringer("outcome", outcome).Err(err).Msg("receiver: not served")
+		r.log.Info().Str("call", id).Str("target", target.ID).Stringer("outcome", outcome).
+			Dur("took", time.Since(began)).Err(err).Msg("receiver: not served")
 		Refuse(w, http.StatusServiceUnavailable, outcome, err.Error())
 		return
 	}
@@ -157,6 +159,12 @@
 	busy := &fireflymoor.BusyError{}
 	if errors.As(err, &busy) {
 		annotator.SetMilliseconds(header, annotator.Wait, busy.Wait)
+		if busy.Report != nil {
+			annotator.SetLoadReport(header, *busy.Report)
+		}
+		if busy.Neighbor != "" {
+			header.Set(annotator.Neighbor, busy.Neighbor)
+		}
 	}
 }
 
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -116,27 +116,31 @@
 // initServers creates the HTTP servers of the node.
 func (n *node) initServers() {
 	local := target.NewServer(n.targets, n.dialect(), n.dialer, sender.WithBudget(n.heads))
+	local.UseMetrics(target.NewMetrics(n.registry))
+	local.UseNeighbors(n.freeNeighbor)
 	var claims caller.Claims
 	if n.settings.Keys {
 		claims = n.claims.claimer
 	}
 	handler := caller.New(caller.Options{
-		Node:        n.settings.Name,
-		Origin:      n.settings.CallerService,
-		Dialect:     n.dialect(),
-		IsRunning:   local.IsRunning,
-		Viewer:      n,
-		Balancer:    balancer.NewTwoChoices(),
-		Forwarder:   forwarder.New(n.settings.Name, local, n.remote),
-		Tracker:     n.tracker,
-		Ejector:     ejector.New(),
-		Budget:      retrier.NewBudget(),
-		RefusalRate: retrier.NewRefusalRate(),
-		Claims:      claims,
-		Metrics:     caller.NewMetrics(n.registry),
-		Log:         n.rateLimitedLog(),
-		RouteLog:    n.rateLimitedLog(),
-		Decisions:   n.settings.Decisions,
+		Node:         n.settings.Name,
+		Origin:       n.settings.CallerService,
+		Dialect:      n.dialect(),
+		IsRunning:    local.IsRunning,
+		Viewer:       n,
+		Balancer:     balancer.NewTwoChoices(),
+		EvenBalancer: balancer.NewEven(),
+		LocalLoad:    local.Load,
+		Forwarder:    forwarder.New(n.settings.Name, local, n.remote),
+		Tracker:      n.tracker,
+		Ejector:      ejector.New(),
+		Budget:       retrier.NewBudget(),
+		RefusalRate:  retrier.NewRefusalRate(),
+		Claims:       claims,
+		Metrics:      caller.NewMetrics(n.registry),
+		Log:          n.rateLimitedLog(),
+		RouteLog:     n.rateLimitedLog(),
+		Decisions:    n.settings.Decisions,
 	})
 	n.callers = newServer(n.closeWhenLeaving(handler))
 	n.callers.Protocols = &http.Protocols{}
@@ -178,6 +182,20 @@
 	return *n.view.Load()
 }
 
+// freeNeighbor returns the id of a target of a service that this node knows to have a
+// free slot, at another node of the zone, or an empty string.
+func (n *node) freeNeighbor(service string) string {
+	view := n.View()
+	var neighbors []fireflymoor.Target
+	for _, t := range view.Targets(service) {
+		isNeighbor := t.Zone == n.settings.Zone && t.Node != n.settings.Name
+		if isNeighbor && t.State == fireflymoor.Ready && t.Team == view.Configuration().Team() {
+			neighbors = append(neighbors, t)
+		}
+	}
+	return n.tracker.FreeTarget(neighbors, time.Now())
+}
+
 // unreadyReason returns why the node should get no callers, or "" if it is
 // ready.
 func (n *node) unreadyReason() string {
--- /dev/null
+++ b/internal/target/metrics.go
@@ -0,0 +1,55 @@
+package target
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+const (
+	// The buckets of the time in the queue begin at minQueueSeconds and double.
+	minQueueSeconds = 0.001
+	queueBuckets    = 12
+)
+
+// Metrics holds the metrics of calls at the targets of an instance.
+type Metrics struct {
+	queued   prometheus.Histogram
+	sentBack *prometheus.CounterVec
+}
+
+// NewMetrics returns new Metrics that are registered with registry.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		queued: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "fireflymoor_queue_seconds",
+			Help:    "Time that calls waited for a slot of a target of this instance.",
+			Buckets: prometheus.ExponentialBuckets(minQueueSeconds, 2, queueBuckets),
+		}),
+		sentBack: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflymoor_sent_back_total",
+			Help: "Calls that a full target's node sent back, by whether it named another target.",
+		}, []string{"neighbor"}),
+	}
+	registry.MustRegister(m.queued, m.sentBack)
+	return m
+}
+
+// observeWait records how long a call waited for its slot.
+func (m *Metrics) observeWait(wait time.Duration) {
+	if m != nil {
+		m.queued.Observe(wait.Seconds())
+	}
+}
+
+// observeRefusal counts a call that was sent back.
+func (m *Metrics) observeRefusal(named bool) {
+	if m == nil {
+		return
+	}
+	neighbor := "none"
+	if named {
+		neighbor = "named"
+	}
+	m.sentBack.WithLabelValues(neighbor).Inc()
+}
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -55,6 +55,7 @@
 	limiter      *limiter.Limiter
 	draining     bool
 	renewedAt    time.Time
+	own          ownLoad
 }
 
 // record is the latest state received of a target. It is kept after the target is
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -31,6 +31,9 @@
 	registry  *Registry
 	dialect   fireflymoor.Dialect
 	transport *sender.Transport
+	metrics   *Metrics
+	// findNeighbor returns the id of a target with a free slot, or is nil.
+	findNeighbor func(service string) string
 
 	lock sync.Mutex
 	// running counts the calls in progress at the targets by the ids that the
@@ -50,6 +53,11 @@
 	}
 }
 
+// UseMetrics makes the server record metrics. It must be called before Forward.
+func (s *Server) UseMetrics(metrics *Metrics) {
+	s.metrics = metrics
+}
+
 // IsRunning reports whether a target of this instance is running the call with
 // an id.
 func (s *Server) IsRunning(id string) bool {
@@ -86,10 +94,13 @@
 		return nil, fireflymoor.NotRun, errors.Wrapf(err, "target %s: find", target.ID)
 	}
 	ticket := readTicket(in.Header)
+	arrived := time.Now()
 	if err := t.limiter.Acquire(ctx, ticket); err != nil {
+		s.addReport(t, err)
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(err, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
 	}
 	started := time.Now()
+	s.metrics.observeWait(started.Sub(arrived))
 	if !s.registry.valid(t, started) {
 		t.limiter.Release(ticket, 0)
 		return nil, fireflymoor.NotRun, errors.Wrapf(ErrUnknown, "target %s: take a slot", target.ID)
@@ -117,6 +128,7 @@
 func readTicket(header http.Header) limiter.Ticket {
 	ticket := limiter.Ticket{
 		Objective: annotator.Milliseconds(header, annotator.Objective),
+		MaxWait:   annotator.Milliseconds(header, annotator.MaxWait),
 	}
 	if rank, err := strconv.Atoi(header.Get(annotator.Rank)); err == nil {
 		ticket.Rank = rank
@@ -139,8 +151,9 @@
 		return nil, outcome, err
 	}
 	verdict := s.dialect.ReadResponse(out.Header, response.Header, response.StatusCode)
+	t.own.record(verdict.Load, time.Now())
 	if verdict.Err == nil && !verdict.NotRun {
-		annotator.SetLoad(response.Header, t.limiter.Load())
+		s.setLoad(t, response.Header)
 		return response, fireflymoor.Answered, nil
 	}
 	_ = response.Body.Close()
@@ -151,6 +164,16 @@
 	return nil, fireflymoor.NotRun, errors.Mark(err, fireflymoor.ErrRefusedByTarget)
 }
 
+// setLoad writes the target's load to the header of a response. Nodes that balance
+// evenly get the longer form.
+func (s *Server) setLoad(t *localTarget, header http.Header) {
+	if t.isEven(s.registry.balance()) {
+		annotator.SetLoadReport(header, t.report(1, time.Now()))
+		return
+	}
+	annotator.SetLoad(header, t.limiter.Load())
+}
+
 // remaining returns the time until the deadline of ctx, or 0 if it has none.
 func remaining(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
--- a/internal/tracker/report.go
+++ b/internal/tracker/report.go
@@ -18,6 +18,11 @@
 	// maxRelativeHold bounds the relative hold time of a target in both directions,
 	// so that each target gets some calls, by which its hold time is measured again.
 	maxRelativeHold = 5.0
+	// freeTTL is how long a report of a free slot is passed on to others, and
+	// maxFreeLoad the load above which it is not, because another call may have taken
+	// the slot.
+	freeTTL     = 200 * time.Millisecond
+	maxFreeLoad = 0.8
 )
 
 // floatValue is a float64 that is safe for concurrent use.
@@ -49,6 +54,9 @@
 // RecordReport records the load of a target that its node reported with a response
 // or a refusal.
 func (t *Tracker) RecordReport(target fireflymoor.Target, reported fireflymoor.LoadReport, now time.Time) {
+	if _, known := t.reported.Load(target.Service); !known {
+		t.reported.Store(target.Service, struct{}{})
+	}
 	e := t.entry(target, now)
 	e.setLoad(reported.Load, now)
 	e.zone.observeFull(reported.Load >= 1)
@@ -63,6 +71,34 @@
 	e.report.picks.Store(0)
 }
 
+// HasReports reports whether a report of a target of the service was recorded.
+func (t *Tracker) HasReports(service string) bool {
+	_, ok := t.reported.Load(service)
+	return ok
+}
+
+// FreeTarget returns the id of the least utilized of the targets that recently
+// reported a free slot to this proxy, or an empty string if there is none. The caller
+// sends a call there, which counts as a pick of this proxy until the next report.
+func (t *Tracker) FreeTarget(targets []fireflymoor.Target, now time.Time) string {
+	var free *entry
+	id := ""
+	lowest := maxFreeLoad
+	for i := range targets {
+		e := t.entry(targets[i], now)
+		if now.UnixNano()-e.report.at.Load() > int64(freeTTL) {
+			continue
+		}
+		if u := e.utilization(targets[i].Slots, now); u < lowest {
+			free, id, lowest = e, targets[i].ID, u
+		}
+	}
+	if free != nil {
+		free.report.picks.Add(1)
+	}
+	return id
+}
+
 // pick counts a call that begins until the returned function is called. A report
 // that arrives meanwhile contains the call.
 func (r *report) pick() func() {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -38,7 +38,9 @@
 	zone    string
 	entries sync.Map
 	// zones maps a zoneKey to its *zoneLoad.
-	zones     sync.Map
+	zones sync.Map
+	// reported has the names of the services of which a report was recorded.
+	reported  sync.Map
 	baselines *baselines
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -22,6 +22,10 @@
 type BusyError struct {
 	// Wait is how long calls currently wait at the node.
 	Wait time.Duration
+	// Report is the load of the target, or nil if the node does not report it.
+	Report *LoadReport
+	// Neighbor is the id of a target that the node knows to have a free slot, or empty.
+	Neighbor string
 }
 
 // Error implements error.
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -193,6 +193,7 @@
 	return fireflymoor.Limits{
 		RetryBudget:    s.Int("retry-budget", DefaultBudget, 0, maxPercent),
 		EjectShare:     s.Int("eject-share", DefaultEject, 0, maxPercent),
+		Balance:        readBalance(s),
 		MaxBody:        int64(s.Int("max-body", 0, 0, MaxBodyBytes)),
 		MaxHeaderBytes: s.Int("max-head", 0, 0, MaxHeadBytes),
 		HeaderTimeout:  s.Duration("head-timeout", 0, 0, MaxTimeout),
@@ -200,6 +201,18 @@
 	}
 }
 
+// readBalance reads how nodes choose the targets of calls.
+func readBalance(s *Section) fireflymoor.Balance {
+	text := s.String("balance", fireflymoor.BalanceTwoChoices.String())
+	for _, b := range []fireflymoor.Balance{fireflymoor.BalanceTwoChoices, fireflymoor.BalanceEven, fireflymoor.BalanceAuto} {
+		if text == b.String() {
+			return b
+		}
+	}
+	s.Fault("balance", fmt.Sprintf("%q is not two-choices, even or auto", text))
+	return fireflymoor.BalanceTwoChoices
+}
+
 // checkReferences notes a fault for each route that leads to an unknown service or
 // matches the same calls as another one.
 func (c content) checkReferences(d *Document) {
