internal/limiter: limit the slots of bulk calls while others wait

Nested calls of 41 ms with deadlines of 500 ms were sent to a target of 9 slots beside one and a half times the direct calls of 130 ms that it serves. Up to 80 a second all are served, as they go first. At 120 a second they need 4.9 slots, but may hold 4 while others wait: 68 of 600 were refused.

Direct calls of bulk routes can wait. Without bulk calls the queue is as before. Nodes send the mark in the header Fireflymoor-Bulk.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -50,6 +50,9 @@
 	// the most urgent calls. The limit applies to slots held at one time rather
 	// than to slots granted, because nested calls are short.
 	nestedDivisor = 2
+	// bulkDivisor divides the slots to give the number that bulk calls may hold while
+	// other calls wait. Nested calls may then hold more than their usual part.
+	bulkDivisor = 3
 	// maxDrainWait is how long a call may still wait when its target begins to
 	// drain. The target accepts work for about 2 s after that.
 	maxDrainWait = 1500 * time.Millisecond
@@ -63,6 +66,9 @@
 	// Objective is the time within which the call should be answered, or 0 if only
 	// its deadline matters.
 	Objective time.Duration
+	// Bulk is set for calls with large responses that can wait. Ranks below 0 take
+	// precedence over it.
+	Bulk bool
 	// MaxWait is the longest expected wait with which the call is queued, or 0 if
 	// there is no such bound. A call that would wait longer is refused, because it can
 	// be tried at another target.
@@ -84,7 +90,9 @@
 	// meanHoldByRank has the same average for the calls of each rank.
 	meanHoldByRank map[int]time.Duration
 	// nested is the number of slots that nested calls hold.
-	nested   int
+	nested int
+	// bulk is the number of slots that bulk calls hold.
+	bulk     int
 	draining bool
 	// idle is closed when the limiter drains and its last call has ended.
 	idle chan struct{}
@@ -121,7 +129,7 @@
 		return ErrDraining
 	}
 	if l.inFlight < l.slots {
-		l.occupySlot(ticket.Rank)
+		l.occupySlot(ticket.class())
 		l.lock.Unlock()
 		return nil
 	}
@@ -174,7 +182,7 @@
 	}
 	err := <-w.result
 	if err == nil && ctx.Err() != nil {
-		l.freeSlot(w.rank)
+		l.freeSlot(w.class)
 		return ErrDeadline
 	}
 	return err
@@ -186,7 +194,7 @@
 	defer l.lock.Unlock()
 	l.meanHold = movingAverage(l.meanHold, held)
 	l.meanHoldByRank[ticket.Rank] = movingAverage(l.meanHoldByRank[ticket.Rank], held)
-	l.freeSlot(ticket.Rank)
+	l.freeSlot(ticket.class())
 }
 
 // movingAverage returns the exponentially weighted moving average with the newest
@@ -198,21 +206,27 @@
 	return mean + time.Duration(holdSmoothing*float64(newest-mean))
 }
 
-// occupySlot counts a slot as held by a call of a rank.
-func (l *Limiter) occupySlot(rank int) {
+// occupySlot counts a slot as held by a call of a class.
+func (l *Limiter) occupySlot(c class) {
 	l.inFlight++
-	if rank < 0 {
-		l.nested++
+	l.count(c, 1)
+}
+
+// count adds by to the number of slots that calls of a class hold.
+func (l *Limiter) count(c class, by int) {
+	switch c {
+	case classNested:
+		l.nested += by
+	case classBulk:
+		l.bulk += by
 	}
 }
 
-// freeSlot frees a slot held by a call of a rank and grants it to a waiting
+// freeSlot frees a slot held by a call of a class and grants it to a waiting
 // call.
-func (l *Limiter) freeSlot(rank int) {
+func (l *Limiter) freeSlot(c class) {
 	l.inFlight--
-	if rank < 0 {
-		l.nested--
-	}
+	l.count(c, -1)
 	l.grantSlots()
 	if l.draining && l.inFlight == 0 && len(l.waiting) == 0 {
 		l.closeIdle()
@@ -229,7 +243,7 @@
 			w.result <- &fireflymoor.BusyError{}
 			continue
 		}
-		l.occupySlot(w.rank)
+		l.occupySlot(w.class)
 		w.result <- nil
 	}
 }
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -8,9 +8,30 @@
 	"github.com/fireflymoor/fireflymoor"
 )
 
+// class is a kind of calls whose part of the slots is limited while others wait.
+type class int
+
+const (
+	classOrdinary class = iota
+	classNested
+	classBulk
+)
+
+// class returns the class of a ticket.
+func (t Ticket) class() class {
+	switch {
+	case t.Rank < 0:
+		return classNested
+	case t.Bulk:
+		return classBulk
+	}
+	return classOrdinary
+}
+
 // waiter is a call that waits for a slot.
 type waiter struct {
-	rank int
+	rank  int
+	class class
 	// softDeadline is when the call should begin. The call is admitted if that is
 	// likely, and refused later if calls queued before it make it unlikely. Zero
 	// means never.
@@ -76,6 +97,7 @@
 func (l *Limiter) newWaiter(ctx context.Context, ticket Ticket, now time.Time) *waiter {
 	w := &waiter{
 		rank:   ticket.Rank,
+		class:  ticket.class(),
 		result: make(chan error, 1),
 	}
 	if deadline, ok := ctx.Deadline(); ok {
@@ -138,12 +160,23 @@
 	l.waiting = kept
 }
 
-// dequeue removes and returns the call that gets the next slot.
+// maxBulk returns how many slots bulk calls may hold while other calls wait.
+func (l *Limiter) maxBulk() int {
+	return max(l.slots/bulkDivisor, 1)
+}
+
+// dequeue removes and returns the call that gets the next slot: the first one whose
+// class does not hold its part of the slots, or else the first one.
 func (l *Limiter) dequeue() *waiter {
-	index := 0
-	if l.nested >= l.maxNested() {
-		index = max(0, slices.IndexFunc(l.waiting, func(w *waiter) bool { return w.rank >= 0 }))
-	}
+	index := max(0, slices.IndexFunc(l.waiting, func(w *waiter) bool {
+		switch w.class {
+		case classNested:
+			return l.nested < l.maxNested()
+		case classBulk:
+			return l.bulk < l.maxBulk()
+		}
+		return true
+	}))
 	w := l.waiting[index]
 	l.waiting = slices.Delete(l.waiting, index, index+1)
 	return w
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -128,6 +128,7 @@
 func readTicket(header http.Header) limiter.Ticket {
 	ticket := limiter.Ticket{
 		Objective: annotator.Milliseconds(header, annotator.Objective),
+		Bulk:      header.Get(annotator.Bulk) != "",
 		MaxWait:   annotator.Milliseconds(header, annotator.MaxWait),
 	}
 	if rank, err := strconv.Atoi(header.Get(annotator.Rank)); err == nil {
