--- a/internal/balancer/model_test.go
+++ b/internal/balancer/model_test.go
@@ -140,7 +140,7 @@
 	calls, queued, needless, redirected, otherZone, failed int
 	waits                                                  []time.Duration
 	// utilization is the mean of all samples, and variation the mean over windows of
-	// the coefficient of variation among the targets of a zone.
+	// the coefficient of variation among the targets.
 	utilization, variation float64
 	busiest                float64
 }
