--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -33,7 +33,7 @@
 		h.options.Ejector.RecordDraining(target.ID, time.Now())
 		return
 	case errors.Is(err, fireflymoor.ErrBusy):
-		h.options.Tracker.RecordRefusal(target, time.Now())
+		h.recordRefusal(c, target, err)
 		return
 	}
 	h.options.Ejector.RecordFailure(target.ID, time.Now())
@@ -45,6 +45,21 @@
 	return errors.Is(ctx.Err(), context.Canceled) && time.Since(c.start) < c.route.Objective+cancelGrace
 }
 
+// recordRefusal records the load that a refusal reported, and the target that it
+// named. A target counts as full whatever its refusal reports, and as overloaded if it
+// reports nothing.
+func (h *Handler) recordRefusal(c *call, target fireflymoor.Target, err error) {
+	busy := &fireflymoor.BusyError{}
+	if !errors.As(err, &busy) || busy.Report == nil || c.view.Configuration().Limits().Balance == fireflymoor.BalanceTwoChoices {
+		h.options.Tracker.RecordRefusal(target, time.Now())
+		return
+	}
+	report := *busy.Report
+	report.Load = max(report.Load, 1)
+	h.options.Tracker.RecordReport(target, report, time.Now())
+	c.neighbor = busy.Neighbor
+}
+
 // respond sends a target's response to the caller.
 func (h *Handler) respond(ctx context.Context, w http.ResponseWriter, c *call, response *http.Response) {
 	if c.grant != nil {
