--- a/internal/evaluator/plan.go
+++ b/internal/evaluator/plan.go
@@ -18,7 +18,7 @@
 	verdictReserve = 3 * time.Second
 	// dropReserve is the time between the last share and the verdict. A share that
 	// ends later would give calls whose reports arrive after the verdict.
-	dropReserve     = 3 * time.Second
+	dropReserve     = 2500 * time.Millisecond
 	shareResolution = 0.0001
 	// droppedShare is the share between the last stage and the verdict. It is not 0,
 	// to tell it from a roll-out that has not begun.
@@ -39,7 +39,12 @@
 	// calls of 0.8 s, within the bounds: a few percent, and enough calls to judge by.
 	initialTime     = 0.8
 	minInitialShare = 0.03
-	maxInitialShare = 0.10
+	maxInitialShare = 0.08
+	// singlePart is the part of the calls in the duration, and maxSingleShare the
+	// greatest share, that a version gets if the duration is too short for a second
+	// stage. A few percent would give too few calls to judge by.
+	singlePart     = 0.08
+	maxSingleShare = 0.2
 	// maxPeakShare leaves the old version enough calls to compare with.
 	maxPeakShare = 0.5
 	// minGrowth is the least factor by which the share grows, as each change is a
@@ -48,7 +53,7 @@
 
 	// A bad version may get 10% of the calls of the service and 50. The plan uses 90%
 	// of the first, as the delays vary and reports may be lost, 45 of the second, and
-	// takes 70% of the rate as the forecast for the rest of the duration. It leaves
+	// takes 70% of the mean rate as the forecast for the rest of the duration. It leaves
 	// chanceReserve standard deviations of the number of calls, as nodes pick the
 	// version of each call at random.
 	allowedShare   = 0.09
@@ -70,7 +75,12 @@
 }
 
 func (e *Evaluator) initialShare() float64 {
-	return roundShare(min(max(initialTime/e.order.Duration.Seconds(), minInitialShare), maxInitialShare))
+	duration := e.order.Duration.Seconds()
+	held := e.dropTime().Sub(e.order.Started)
+	if held < stageTime+minPeakTime {
+		return roundShare(min(singlePart*duration/(held+jitter).Seconds(), maxSingleShare))
+	}
+	return roundShare(min(max(initialTime/duration, minInitialShare), maxInitialShare))
 }
 
 // dropTime returns the time at which the share drops to wait for the verdict.
@@ -107,16 +117,19 @@
 	return roundShare((allowance - used) / (rate * held))
 }
 
-// exposure returns the rate of calls to the service, the calls that the new version
+// exposure returns the greater of the present and the mean rate of calls, the calls that the new version
 // may get in the whole duration, and those that it gets until a new share is in force.
 func (e *Evaluator) exposure(now time.Time) (rate, allowance, used float64) {
 	first := e.evidence.first.Add(-reportDelay)
 	seen := max(now.Sub(first)-reportDelay/2, firstReports).Seconds()
 	old, added := float64(e.evidence.total[0]), float64(e.evidence.total[1])
-	rate = (old + added) / seen
+	mean := (old + added) / seen
+	recent, _, start := e.evidence.recent()
+	present := float64(recent[0]+recent[1]) / max(now.Sub(start), periodTime).Seconds()
+	rate = max(mean, present)
 	unseen := max(first.Sub(e.order.Started).Seconds(), 0)
 	rest := max(e.end().Sub(now).Seconds(), 0)
-	total := old + added + rate*(unseen+forecastFactor*rest)
+	total := old + added + mean*unseen + forecastFactor*mean*rest
 	used = added + rate*e.current.Share*(reportDelay+minInForceDelay).Seconds()
 	if e.tookOver {
 		used += rate * e.current.Share * unseen
