--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -46,6 +46,8 @@
 	annotator.Tenant:          'n',
 	annotator.KeyID:           'k',
 	annotator.Bulk:            'v',
+	annotator.MaxWait:         'm',
+	annotator.Neighbor:        'p',
 	"Content-Type":            'y',
 	"Date":                    'z',
 	"User-Agent":              'h',
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -114,6 +114,7 @@
 	target := fireflymoor.Target{
 		ID: request.Header.Get(annotator.TargetID),
 	}
+	began := time.Now()
 	response, outcome, err := r.forwarder.Forward(ctx, target, request)
 	if err != nil {
 		if outcome == fireflymoor.NotRun {
@@ -121,7 +122,8 @@
 		}
 		AbandonRequest(w, request)
 		setRefusalHeaders(w.Header(), err)
-		r.log.Info().Str("call", id).Str("target", target.ID).Stringer("outcome", outcome).Err(err).Msg("receiver: not served")
+		r.log.Info().Str("call", id).Str("target", target.ID).Stringer("outcome", outcome).
+			Dur("took", time.Since(began)).Err(err).Msg("receiver: not served")
 		Refuse(w, http.StatusServiceUnavailable, outcome, err.Error())
 		return
 	}
@@ -165,6 +167,12 @@
 	busy := &fireflymoor.BusyError{}
 	if errors.As(err, &busy) {
 		annotator.SetMilliseconds(header, annotator.Wait, busy.Wait)
+		if busy.Report != nil {
+			annotator.SetLoadReport(header, *busy.Report)
+		}
+		if busy.Neighbor != "" {
+			header.Set(annotator.Neighbor, busy.Neighbor)
+		}
 	}
 }
 
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -35,6 +35,9 @@
 	dialect   fireflymoor.Dialect
 	transport *sender.Transport
 	shaper    *shaper.Shaper
+	metrics   *Metrics
+	// findNeighbor returns the id of a target with a free slot, or is nil.
+	findNeighbor func(service string) string
 
 	lock sync.Mutex
 	// running holds the calls in progress at the targets by the ids that the
@@ -67,6 +70,11 @@
 	}
 }
 
+// UseMetrics makes the server record metrics. It must be called before Forward.
+func (s *Server) UseMetrics(metrics *Metrics) {
+	s.metrics = metrics
+}
+
 // IsRunning reports whether a target of this instance is running the call with
 // an id, and returns the name of the tenant on whose behalf it runs, or "".
 func (s *Server) IsRunning(id string) (tenant string, running bool) {
@@ -127,10 +135,13 @@
 	configuration := s.registry.current()
 	ticket := readTicket(in.Header, configuration)
 	keyID := in.Header.Get(annotator.KeyID)
+	arrived := time.Now()
 	if err := t.limiter.Acquire(ctx, ticket); err != nil {
+		s.addReport(t, err)
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(err, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
 	}
 	started := time.Now()
+	s.metrics.observeWait(started.Sub(arrived))
 	if !s.registry.valid(t, started) {
 		t.limiter.Release(ticket, 0)
 		return nil, fireflymoor.NotRun, errors.Wrapf(ErrUnknown, "target %s: take a slot", target.ID)
@@ -173,6 +184,8 @@
 func readTicket(header http.Header, configuration fireflymoor.Configuration) limiter.Ticket {
 	ticket := limiter.Ticket{
 		Objective: annotator.Milliseconds(header, annotator.Objective),
+		Bulk:      header.Get(annotator.Bulk) != "",
+		MaxWait:   annotator.Milliseconds(header, annotator.MaxWait),
 	}
 	if rank, err := strconv.Atoi(header.Get(annotator.Rank)); err == nil {
 		ticket.Rank = rank
@@ -203,8 +216,9 @@
 		return nil, outcome, err
 	}
 	verdict := s.dialect.ReadResponse(out.Header, response.Header, response.StatusCode)
+	t.own.record(verdict.Load, time.Now())
 	if verdict.Err == nil && !verdict.NotRun {
-		annotator.SetLoad(response.Header, t.limiter.Load())
+		s.setLoad(t, response.Header)
 		return response, fireflymoor.Answered, nil
 	}
 	_ = response.Body.Close()
@@ -215,6 +229,16 @@
 	return nil, fireflymoor.NotRun, errors.Mark(err, fireflymoor.ErrRefusedByTarget)
 }
 
+// setLoad writes the target's load to the header of a response. Nodes that balance
+// evenly get the longer form.
+func (s *Server) setLoad(t *localTarget, header http.Header) {
+	if t.isEven(s.registry.balance()) {
+		annotator.SetLoadReport(header, t.report(1, time.Now()))
+		return
+	}
+	annotator.SetLoad(header, t.limiter.Load())
+}
+
 // remaining returns the time until the deadline of ctx, or 0 if it has none.
 func remaining(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
