--- a/configuration.go
+++ b/configuration.go
@@ -169,11 +169,11 @@
 	// byHost holds the indexes in routes by host in lower case, the most specific
 	// route first.
 	byHost map[string][]int
-	// tenantsByName and tenantsByKey hold the indexes in tenants by name and by the
-	// hash of each key.
+	// tenantsByName holds the indexes in tenants by name, and tenantsByKey the positions
+	// of keys by their hashes.
 	tenants       []Tenant
 	tenantsByName map[string]int
-	tenantsByKey  map[[32]byte]int
+	tenantsByKey  map[[32]byte]keyIndex
 	rollouts      []Rollout
 }
 
--- a/tenant.go
+++ b/tenant.go
@@ -39,6 +39,12 @@
 	Weight float64
 }
 
+// keyIndex is the position of a key.
+type keyIndex struct {
+	// tenant is an index of tenants, and key one of the tenant's keys.
+	tenant, key int
+}
+
 // HashKey returns the hash by which a key is stored.
 func HashKey(key string) [32]byte {
 	return sha256.Sum256([]byte(key))
@@ -84,11 +90,14 @@
 func (c Configuration) WithTenants(tenants []Tenant) Configuration {
 	c.tenants = slices.Clone(tenants)
 	c.tenantsByName = map[string]int{}
-	c.tenantsByKey = map[[32]byte]int{}
+	c.tenantsByKey = map[[32]byte]keyIndex{}
 	for i := range c.tenants {
 		c.tenantsByName[c.tenants[i].Name] = i
-		for _, hash := range c.tenants[i].KeyHashes {
-			c.tenantsByKey[hash] = i
+		for j, hash := range c.tenants[i].KeyHashes {
+			c.tenantsByKey[hash] = keyIndex{
+				tenant: i,
+				key:    j,
+			}
 		}
 	}
 	return c
@@ -126,9 +135,6 @@
 	if !ok {
 		return Tenant{}, false
 	}
-	found := 0
-	for _, stored := range c.tenants[i].KeyHashes {
-		found |= subtle.ConstantTimeCompare(stored[:], hash[:])
-	}
-	return c.tenants[i], found == 1
+	tenant := c.tenants[i.tenant]
+	return tenant, subtle.ConstantTimeCompare(tenant.KeyHashes[i.key][:], hash[:]) == 1
 }
