--- a/internal/recorder/rollout.go
+++ b/internal/recorder/rollout.go
@@ -122,6 +122,7 @@
 		Started:  at,
 		Duration: duration,
 		State:    fireflymoor.RolloutRunning,
+		Reason:   "ordered",
 		Decided:  at,
 	}
 	if isOnlyVersion(current, order) {
