--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -32,6 +32,11 @@
 type waiter struct {
 	rank  int
 	class class
+	// flow is the call's tenant and rank, or nil if the order is that of arrival.
+	flow *flow
+	// arrived is the virtual time at the call's arrival, start its start tag and cost
+	// the difference to its finish tag.
+	arrived, start, cost float64
 	// softDeadline is when the call should begin. The call is admitted if that is
 	// likely, and refused later if calls queued before it make it unlikely. Zero
 	// means never.
@@ -43,17 +48,22 @@
 	result       chan error
 }
 
-// enqueue adds a call to the queue at the position of its rank, unless the call
-// is not likely to begin in time there. It refuses the calls behind it that are
+// enqueue adds a call to the queue at the position of its rank and share, unless the
+// call is not likely to begin in time there. It refuses the calls behind it that are
 // no longer likely to begin in time.
-func (l *Limiter) enqueue(ctx context.Context, ticket Ticket) (*waiter, error) {
+func (l *Limiter) enqueue(ctx context.Context, ticket Ticket, f *flow) (*waiter, error) {
 	now := l.now()
 	if l.meanHold == 0 {
 		l.meanHold = ticket.Objective / initialHoldDivisor
 	}
 	w := l.newWaiter(ctx, ticket, now)
-	position := l.position(w.rank)
-	if wait := l.expectedWait(l.grantsBefore(w, l.waiting[:position])); hasPassed(w.softDeadline, now.Add(wait)) {
+	l.tag(w, f, ticket)
+	position := len(l.waiting)
+	for position > 0 && !l.waiting[position-1].before(w) {
+		position--
+	}
+	wait := l.expectedWait(l.grantsBefore(w, l.waiting[:position]))
+	if hasPassed(w.softDeadline, now.Add(wait)) || 0 < ticket.MaxWait && ticket.MaxWait < wait {
 		return nil, &fireflymoor.BusyError{
 			Wait: wait,
 		}
@@ -66,15 +76,6 @@
 	return w, nil
 }
 
-// position returns the position in the queue of a further call of a rank.
-func (l *Limiter) position(rank int) int {
-	position := len(l.waiting)
-	for position > 0 && l.waiting[position-1].rank > rank {
-		position--
-	}
-	return position
-}
-
 // maxWait returns how long a call of a rank may wait if it is to be answered
 // within its objective.
 func (l *Limiter) maxWait(rank int, objective time.Duration) time.Duration {
@@ -142,6 +143,7 @@
 // time, and the calls that exceed the length of the queue.
 func (l *Limiter) refuseLate(now time.Time, from int) {
 	kept := l.waiting[:from]
+	var refused []*flow
 	for _, w := range l.waiting[from:] {
 		wait := l.expectedWait(l.grantsBefore(w, kept))
 		slack := w.softDeadline.Sub(now) / slackDivisor
@@ -154,10 +156,17 @@
 			w.result <- ErrFull
 		default:
 			kept = append(kept, w)
+			continue
+		}
+		if w.flow != nil && !slices.Contains(refused, w.flow) {
+			refused = append(refused, w.flow)
 		}
 	}
 	clear(l.waiting[len(kept):])
 	l.waiting = kept
+	for _, f := range refused {
+		l.retag(f)
+	}
 }
 
 // maxBulk returns how many slots bulk calls may hold while other calls wait.
--- a/internal/target/bulk.go
+++ b/internal/target/bulk.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/annotator"
 )
 
 const (
@@ -29,7 +30,7 @@
 // the link cannot carry the response in time.
 func (s *Server) forwardBulk(ctx context.Context, target fireflymoor.Target, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
 	maxWait := defaultLinkWait
-	if objective := readTicket(in.Header).Objective; objective > 0 {
+	if objective := annotator.Milliseconds(in.Header, annotator.Objective); objective > 0 {
 		maxWait = objective / linkWaitDivisor
 	}
 	reservation, wait, ok := s.shaper.Admit(maxWait)
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -24,6 +24,8 @@
 	// target sends a shorter timeout. Targets keep idle connections for 10 s or
 	// more.
 	idleTimeout = 8 * time.Second
+	// defaultWeight is the weight of a tenant that is not in the configuration.
+	defaultWeight = 1
 )
 
 // A Server forwards calls to the targets of a Registry. It alone allocates their
@@ -130,9 +132,9 @@
 	if err != nil {
 		return nil, fireflymoor.NotRun, errors.Wrapf(err, "target %s: find", target.ID)
 	}
-	ticket := readTicket(in.Header)
-	keyID := in.Header.Get(annotator.KeyID)
 	configuration := s.registry.current()
+	ticket := readTicket(in.Header, configuration)
+	keyID := in.Header.Get(annotator.KeyID)
 	arrived := time.Now()
 	if err := t.limiter.Acquire(ctx, ticket); err != nil {
 		s.addReport(t, err)
@@ -178,8 +180,8 @@
 }
 
 // readTicket reads the ticket of a call from the headers that the forwarding node
-// set.
-func readTicket(header http.Header) limiter.Ticket {
+// set. A tenant that the configuration lacks has the default weight.
+func readTicket(header http.Header, configuration fireflymoor.Configuration) limiter.Ticket {
 	ticket := limiter.Ticket{
 		Objective: annotator.Milliseconds(header, annotator.Objective),
 		Bulk:      header.Get(annotator.Bulk) != "",
@@ -188,6 +190,12 @@
 	if rank, err := strconv.Atoi(header.Get(annotator.Rank)); err == nil {
 		ticket.Rank = rank
 	}
+	if ticket.Tenant = header.Get(annotator.Tenant); ticket.Tenant != "" {
+		ticket.Weight = defaultWeight
+		if tenant, ok := configuration.Tenant(ticket.Tenant); ok {
+			ticket.Weight = tenant.Weight
+		}
+	}
 	return ticket
 }
 
