internal/pipeliner: do not refuse requests whose calls have begun

A request whose call had begun ahead of its turn could be refused as not run when its turn came and the memory for header sections had run out. The call had run, and those behind it were lost with the connection. Such a request was charged when its call began, and is no longer refused.

TestBegunCallIsNotRefused fails without the change: status 503.

--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -89,12 +89,19 @@
 	switch {
 	case c.scanner.leading > maxLeadingBytes:
 		return limitEmptyLines
-	case !c.listener.budget.grow(&c.charge, int64(n*byteFactor+lines*lineCost)):
+	case !c.listener.budget.grow(&c.charge, int64(n*byteFactor+lines*lineCost)) && !c.hasBegun():
 		return limitMemory
 	}
 	return ""
 }
 
+// hasBegun reports whether the call of the request that is being read began before, so
+// that it may not be refused as not run. Its header section was charged then.
+func (c *conn) hasBegun() bool {
+	inner, ok := c.Conn.(interface{ HasBegun() bool })
+	return ok && inner.HasBegun()
+}
+
 // beginRequest marks the header section as read. It reports whether the request must
 // be the last one of the connection because it has, or may have had, both headers that
 // determine the length of its body. It returns false for ok if the budget does not
@@ -106,7 +113,7 @@
 	ok = true
 	scanned := c.scanner.isHeadOf(request)
 	if !scanned && !c.closed {
-		ok = c.listener.budget.grow(&c.charge, headerCost(request.Header))
+		ok = c.listener.budget.grow(&c.charge, headerCost(request.Header)) || c.hasBegun()
 	}
 	last = len(request.TransferEncoding) > 0 && (!scanned || c.scanner.length)
 	return last, ok
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -167,6 +167,13 @@
 	return len(p)
 }
 
+// HasBegun reports whether the call of the next request that the server reads has begun.
+func (c *conn) HasBegun() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return len(c.calls) > 0
+}
+
 // begin records that a request is in progress. It returns the request's call if that
 // has begun before, and reports whether the response should be held because calls may
 // begin while it is in progress.
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -489,3 +489,31 @@
 	f.is.Equal(body, "/1")
 	f.is.True(strings.Contains(f.log.String(), "a fault"))
 }
+
+// TestBegunCallIsNotRefused guards against calls that are reported as not run although
+// they began ahead of their turn, when the memory for header sections runs out.
+func TestBegunCallIsNotRefused(t *testing.T) {
+	var f *fixture
+	var running atomic.Int64
+	f = newFixture(t, 2, func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/1" {
+			running.Add(1)
+		}
+		if request.URL.Path == "/0" {
+			f.waitFor(func() bool { return running.Load() == 1 })
+			time.Sleep(20 * time.Millisecond)
+			rest := acceptor.MinHeadMemory - f.budget.Used()
+			f.is.True(f.budget.NewCharge("b").Resize(rest / 2))
+			for f.budget.NewCharge("c").Resize(1 << 10) {
+			}
+		}
+		echo(w, request)
+	})
+	f.pipeline()
+	f.send(get("/0") + "GET /1 HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 4<<10) + "\r\n\r\n")
+	for i := range 2 {
+		status, body := f.read()
+		f.is.Equal(status, http.StatusOK)
+		f.is.Equal(body, fmt.Sprintf("/%d", i))
+	}
+}
