internal/runner: let begun calls end before the callers' server shuts down

http.Server.Shutdown ends each connection behind its current response, so that calls that had begun ahead of their turn were lost although they would have ended within the shutdown timeout. A leaving node now waits first, within the same timeout, until the turn of all of them has come.

TestShutdownAwaitsBegunCalls fails without the wait: unexpected EOF.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -190,6 +190,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		c.calls = slices.Delete(c.calls, 0, 1)
+		c.pipeliner.pending.Add(-1)
 	}
 	if !known {
 		c.taken = nil
@@ -360,6 +361,7 @@
 		done:     make(chan struct{}),
 	}
 	c.calls = append(c.calls, begun)
+	c.pipeliner.pending.Add(1)
 	c.pipeliner.ahead.Inc()
 	// The server, too, cancels the context of a request once its handler has returned.
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -409,6 +411,7 @@
 	if c.err == nil {
 		c.err = net.ErrClosed
 	}
+	c.pipeliner.pending.Add(-int64(len(c.calls)))
 	for _, begun := range c.calls {
 		go func() {
 			<-begun.done
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -25,6 +26,8 @@
 	maxAheadBytes = 16 << 10
 	// readSize is the number of bytes that are read ahead at a time.
 	readSize = 4 << 10
+	// drainInterval is the time between the checks of Drain.
+	drainInterval = 5 * time.Millisecond
 )
 
 // Options are the dependencies and settings of a Pipeliner.
@@ -49,6 +52,8 @@
 	ahead   prometheus.Counter
 	// held is the number of response bytes that are held.
 	held atomic.Int64
+	// pending is the number of calls that have begun and whose turn has not come.
+	pending atomic.Int64
 }
 
 // New returns a new Pipeliner.
@@ -151,6 +156,21 @@
 	}
 }
 
+// Drain waits until the turn of all calls that began ahead of it has come, or until ctx
+// ends. Shutdown of the server would end each connection behind its current response. The
+// process must be leaving, so that no calls begin ahead of their turn.
+func (p *Pipeliner) Drain(ctx context.Context) {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for p.pending.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // run serves a request. A panic, such as for a response that breaks off, is kept in the
 // response. Any other is logged here with its stack, as the server would do, because it
 // may never get to the server.
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -517,3 +517,29 @@
 		f.is.Equal(body, fmt.Sprintf("/%d", i))
 	}
 }
+
+// TestShutdownAwaitsBegunCalls guards against calls that began ahead of their turn and
+// are lost because the server shuts down behind the response before theirs.
+func TestShutdownAwaitsBegunCalls(t *testing.T) {
+	var f *fixture
+	var running atomic.Int64
+	f = newFixture(t, 3, func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path != "/warm" {
+			running.Add(1)
+			time.Sleep(20 * time.Millisecond)
+		}
+		echo(w, request)
+	})
+	f.pipeline()
+	f.send(get("/0") + get("/1") + get("/2"))
+	f.waitFor(func() bool { return running.Load() == 3 })
+	f.leaving.Store(true)
+	go func() {
+		f.served.Drain(t.Context())
+		_ = f.server.Shutdown(t.Context())
+	}()
+	for i := range 3 {
+		_, body := f.read()
+		f.is.Equal(body, fmt.Sprintf("/%d", i))
+	}
+}
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -175,7 +175,11 @@
 // Run implements fireflymoor.Process.
 func (c *control) Run(ctx context.Context) error {
 	defer c.close()
-	c.run(ctx, c.mux(), c.start, func() { c.shutdown(c.operators, c.platform) })
+	c.run(ctx, c.mux(), c.start, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), c.settings.Shutdown)
+		defer cancel()
+		c.shutdown(ctx, c.operators, c.platform)
+	})
 	c.log.Info().Msg("process: control replica ended")
 	return c.persister.Close()
 }
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -216,11 +216,9 @@
 }
 
 // shutdown shuts down the servers one after the other and waits for their
-// requests in flight. It closes the connections of a server that is not done
-// within the shutdown timeout of the settings, which all servers share.
-func (m *member) shutdown(servers ...*http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), m.settings.Shutdown)
-	defer cancel()
+// requests in flight. It closes the connections of a server that is not done when ctx
+// ends, after the shutdown timeout of the settings, which all servers share.
+func (m *member) shutdown(ctx context.Context, servers ...*http.Server) {
 	for _, s := range servers {
 		if s == nil {
 			continue
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -75,9 +75,10 @@
 
 	// callers serves local callers, calls serves the calls that other nodes
 	// forward.
-	callers  *http.Server
-	calls    *http.Server
-	platform *http.Server
+	callers   *http.Server
+	calls     *http.Server
+	platform  *http.Server
+	pipeliner *pipeliner.Pipeliner
 	// ready and announcements are served only through an adapter.
 	ready         *http.Server
 	announcements *http.Server
@@ -201,14 +202,14 @@
 
 // start starts the parts specific to a node.
 func (n *node) start(workCtx context.Context, group *sync.WaitGroup) {
-	pipelined := pipeliner.New(pipeliner.Options{
+	n.pipeliner = pipeliner.New(pipeliner.Options{
 		Depth:    n.settings.Pipeline,
 		Budget:   n.heads,
 		Leaving:  n.leaving.Load,
 		Registry: n.registry,
 	})
-	n.listeners[n.settings.Callers] = pipelined.Wrap(n.listeners[n.settings.Callers])
-	pipelined.Attach(n.callers)
+	n.listeners[n.settings.Callers] = n.pipeliner.Wrap(n.listeners[n.settings.Callers])
+	n.pipeliner.Attach(n.callers)
 	n.serve(group, n.callers, "callers", n.settings.Callers)
 	n.serve(group, n.calls, "calls", n.settings.Calls)
 	n.serve(group, n.platform, "platform", n.settings.Platform)
@@ -237,7 +238,10 @@
 	time.Sleep(n.settings.Grace)
 	n.targets.DrainAll()
 	time.Sleep(drainNoticeDelay)
-	n.shutdown(n.callers, n.calls, n.platform, n.ready, n.announcements)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown)
+	defer cancel()
+	n.pipeliner.Drain(ctx)
+	n.shutdown(ctx, n.callers, n.calls, n.platform, n.ready, n.announcements)
 }
 
 func (n *node) mux() *linker.Mux {
