--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -10,6 +10,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -543,3 +546,108 @@
 		f.is.Equal(body, fmt.Sprintf("/%d", i))
 	}
 }
+
+// oddRequests are requests, with a place for a number, that a server may read otherwise
+// than a reader ahead of it.
+var oddRequests = []string{
+	"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nConnection: keep-alive\r\nContent-Length: 0\r\n\r\n",
+	"GET /long/%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"GET /empty/%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"HEAD /%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"HEAD /long/%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"GET /%d HTTP/1.1\nHost: a\n\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n \r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 30<<10) + "\r\n\r\n",
+	"GET http://b/%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"GET /%d HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nUpgrade: b\r\nConnection: upgrade\r\n\r\n",
+	"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+	"POST /%d HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	"DELETE /%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"OPTIONS * HTTP/1.1\r\nHost: a\r\nX: %d\r\n\r\n",
+}
+
+// lastRequests are requests with which the server ends the connection.
+var lastRequests = []string{
+	"GET /%d HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+	"GET /%d HTTP/1.0\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\n\r\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nX\r\n\r\n",
+	"\r\nGET /%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+}
+
+// TestSameResponses guards against connections on which reading ahead changes what a
+// caller gets or what runs: all is as without it, byte by byte.
+func TestSameResponses(t *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		text := get("/a") + get("/b")
+		for i := range 12 {
+			// The first ones are the most frequent, as nothing is read ahead behind others.
+			odd := oddRequests[random.IntN(1+random.IntN(len(oddRequests)))]
+			text += fmt.Sprintf(odd, i)
+		}
+		text += fmt.Sprintf(lastRequests[random.IntN(len(lastRequests))], 12)
+		is := is.New(t)
+		want, wantRuns := exchange(t, 1, seed, text)
+		got, gotRuns := exchange(t, 1+random.IntN(5), seed, text)
+		if want != got {
+			same := 0
+			for same < min(len(got), len(want)) && got[same] == want[same] {
+				same++
+			}
+			t.Fatalf("seed %d: after %d bytes: got %.300q, want %.300q", seed, same, got[same:], want[same:])
+		}
+		is.Equal(wantRuns, gotRuns)
+	}
+}
+
+// exchange sends text to a server in random segments, and returns the responses and the
+// sorted calls that ran.
+func exchange(t *testing.T, depth int, seed uint64, text string) (string, string) {
+	var lock sync.Mutex
+	var runs []string
+	random := rand.New(rand.NewPCG(seed, uint64(depth)))
+	f := newFixture(t, depth, func(w http.ResponseWriter, request *http.Request) {
+		lock.Lock()
+		runs = append(runs, request.Method+request.Host+request.URL.Path)
+		pause := time.Duration(random.IntN(500)) * time.Microsecond
+		lock.Unlock()
+		body, _ := io.ReadAll(request.Body)
+		time.Sleep(pause)
+		w.Header()["Date"] = nil
+		if strings.HasPrefix(request.URL.Path, "/empty/") {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		text := request.Host + request.URL.Path + string(body) + request.Header.Get("X")
+		if strings.HasPrefix(request.URL.Path, "/long/") {
+			text = strings.Repeat(text, 10<<10)
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(text))) // chunks may differ
+		_, _ = io.WriteString(w, text)
+	})
+	segments := rand.New(rand.NewPCG(seed, uint64(depth)))
+	go func() {
+		for rest := text; rest != ""; {
+			n := min(1+segments.IntN(2000), len(rest))
+			if _, err := io.WriteString(f.conn, rest[:n]); err != nil {
+				return // the server has closed the connection behind its last response
+			}
+			rest = rest[n:]
+			time.Sleep(time.Duration(segments.IntN(100)) * time.Microsecond)
+		}
+	}()
+	responses, _ := io.ReadAll(f.reader) // a reset may follow the last response
+	f.is.NoErr(f.conn.Close())
+	f.is.NoErr(f.server.Shutdown(t.Context()))
+	slices.Sort(runs)
+	// The server adds a date to its own responses.
+	responses = regexp.MustCompile(`Date: .*\r\n`).ReplaceAll(responses, nil)
+	return string(responses), strings.Join(runs, " ")
+}
