--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -60,7 +60,7 @@
 	return b.text.String()
 }
 
-func newFixture(t *testing.T, depth int, handler http.HandlerFunc) *fixture {
+func newFixture(t *testing.T, depth int, handler http.HandlerFunc, options ...func(*http.Server)) *fixture {
 	t.Helper()
 	f := &fixture{
 		is: is.New(t),
@@ -82,8 +82,14 @@
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	f.is.NoErr(err)
 	f.server = &http.Server{
-		Handler:  handler,
-		ErrorLog: log.New(&f.log, "", 0),
+		Handler:   handler,
+		ErrorLog:  log.New(&f.log, "", 0),
+		Protocols: &http.Protocols{},
+	}
+	f.server.Protocols.SetHTTP1(true)
+	f.server.Protocols.SetUnencryptedHTTP2(true)
+	for _, option := range options {
+		option(f.server)
 	}
 	listener := limited.Wrap(f.served.Wrap(raw), "callers")
 	f.served.Attach(f.server)
@@ -651,3 +657,71 @@
 	responses = regexp.MustCompile(`Date: .*\r\n`).ReplaceAll(responses, nil)
 	return string(responses), strings.Join(runs, " ")
 }
+
+// TestCallerDoesNotRead guards against what remains of calls whose responses could not
+// be sent: bytes that stay counted, charges and goroutines.
+func TestCallerDoesNotRead(t *testing.T) {
+	var running atomic.Int64
+	f := newFixture(t, 4, func(w http.ResponseWriter, request *http.Request) {
+		running.Add(1)
+		defer running.Add(-1)
+		n := 8
+		if request.URL.Path == "/0" {
+			n = 500 // more than the buffers of a connection hold
+		}
+		for range n {
+			_, _ = io.WriteString(w, strings.Repeat("x", maxHeldBytes/4))
+		}
+	})
+	f.send(get("/warm") + get("/warm") + get("/0") + get("/1") + get("/2") + get("/3"))
+	f.waitFor(func() bool { return f.served.held.Load() == 3*maxHeldBytes })
+	f.is.Equal(f.served.pending.Load(), int64(3))
+	f.is.NoErr(f.conn.Close())
+	f.waitFor(func() bool {
+		return running.Load() == 0 && f.served.held.Load() == 0 && f.served.pending.Load() == 0 && f.budget.Used() == 0
+	})
+}
+
+// TestTimeouts guards against connections that the server's timeouts do not end, because
+// they are being read ahead or a part of a header section was read ahead.
+func TestTimeouts(t *testing.T) {
+	for _, rest := range []string{"", "GE", "GET /2 HTTP/1.1\r\n"} {
+		f := newFixture(t, 4, func(w http.ResponseWriter, request *http.Request) {
+			time.Sleep(5 * time.Millisecond)
+			echo(w, request)
+		}, func(server *http.Server) {
+			server.IdleTimeout = 200 * time.Millisecond
+			server.ReadHeaderTimeout = 200 * time.Millisecond
+		})
+		f.pipeline()
+		f.send(get("/0") + get("/1") + rest)
+		f.read()
+		f.read()
+		_, err := io.ReadAll(f.reader)
+		f.is.NoErr(err)
+	}
+}
+
+// TestHTTP2 guards against HTTP/2 connections that are taken for HTTP/1.1.
+func TestHTTP2(t *testing.T) {
+	f := newFixture(t, 4, func(w http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		_, _ = io.WriteString(w, request.Proto+string(body))
+	})
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		Protocols: protocols,
+	}
+	defer transport.CloseIdleConnections()
+	for range 3 {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.conn.RemoteAddr().String(), strings.NewReader("body"))
+		f.is.NoErr(err)
+		response, err := transport.RoundTrip(request)
+		f.is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		f.is.NoErr(err)
+		f.is.NoErr(response.Body.Close())
+		f.is.Equal(string(body), "HTTP/2.0body")
+	}
+}
