internal/acceptor: do not evict connections whose next call has begun

A connection counts as idle between two responses, and may then be closed to make room for another one. If the call of its next request had begun, that was lost. Such a connection is no longer evicted.

TestEvictionSparesBegunCalls fails without the change.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -193,8 +193,12 @@
 	return !c.forgotten
 }
 
-// endRequest records that a connection has no request in progress.
+// endRequest records that a connection has no request in progress, unless the call of its
+// next request has begun.
 func (l *Listener) endRequest(c *conn) {
+	if c.hasBegun() {
+		return
+	}
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if c.element == nil && !c.forgotten {
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -278,3 +278,36 @@
 	is.Equal(recorder.Code, http.StatusServiceUnavailable)
 	is.Equal(recorder.Header().Get("Fireflymoor-Outcome"), "not-run")
 }
+
+// begunConn is a connection whose next request's call may have begun.
+type begunConn struct {
+	net.Conn
+	begun bool
+}
+
+// HasBegun is called by conn.
+func (c *begunConn) HasBegun() bool {
+	return c.begun
+}
+
+// TestEvictionSparesBegunCalls guards against calls that are lost because they began
+// ahead of their turn, and their connection counts as idle between two responses.
+func TestEvictionSparesBegunCalls(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1, MinHeadMemory)
+	left, right := net.Pipe()
+	defer func() { _ = right.Close() }()
+	inner := &begunConn{
+		Conn:  left,
+		begun: true,
+	}
+	accepted := s.listener.admit(inner)
+	s.listener.connState(accepted, http.StateActive)
+	s.listener.connState(accepted, http.StateIdle)
+	other, _ := net.Pipe()
+	is.Equal(s.listener.admit(other), nil) // there is no room
+	inner.begun = false
+	s.listener.connState(accepted, http.StateActive)
+	s.listener.connState(accepted, http.StateIdle)
+	is.True(s.listener.admit(other) != nil) // the idle one is closed
+}
