--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -167,6 +167,13 @@
 	return len(p)
 }
 
+// HasBegun reports whether the call of the next request that the server reads has begun.
+func (c *conn) HasBegun() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return len(c.calls) > 0
+}
+
 // begin records that a request is in progress. It returns the request's call if that
 // has begun before, and reports whether the response should be held because calls may
 // begin while it is in progress.
@@ -183,6 +190,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		c.calls = slices.Delete(c.calls, 0, 1)
+		c.pipeliner.pending.Add(-1)
 	}
 	if !known {
 		c.taken = nil
@@ -353,6 +361,7 @@
 		done:     make(chan struct{}),
 	}
 	c.calls = append(c.calls, begun)
+	c.pipeliner.pending.Add(1)
 	c.pipeliner.ahead.Inc()
 	// The server, too, cancels the context of a request once its handler has returned.
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -402,6 +411,7 @@
 	if c.err == nil {
 		c.err = net.ErrClosed
 	}
+	c.pipeliner.pending.Add(-int64(len(c.calls)))
 	for _, begun := range c.calls {
 		go func() {
 			<-begun.done
