--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -66,6 +66,10 @@
 	// Objective is the time within which the call should be answered, or 0 if only
 	// its deadline matters.
 	Objective time.Duration
+	// Tenant is the name of the tenant on whose behalf the call is made, or empty.
+	Tenant string
+	// Weight is the tenant's share of the slots, relative to other tenants.
+	Weight float64
 	// Bulk is set for calls with large responses that can wait. Ranks below 0 take
 	// precedence over it.
 	Bulk bool
@@ -73,10 +77,6 @@
 	// there is no such bound. A call that would wait longer is refused, because it can
 	// be tried at another target.
 	MaxWait time.Duration
-	// Tenant is the name of the tenant on whose behalf the call is made, or empty.
-	Tenant string
-	// Weight is the tenant's share of the slots, relative to other tenants.
-	Weight float64
 }
 
 // A Limiter bounds the number of calls in flight and waiting at one target.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// BenchmarkAcquireTenants acquires slots for many tenants in turn.
+func BenchmarkAcquireTenants(b *testing.B) {
+	l := New(20, 40)
+	tickets := make([]Ticket, 79)
+	for i := range tickets {
+		tickets[i].Tenant = strconv.Itoa(i)
+		tickets[i].Weight = 1
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		ticket := tickets[i%len(tickets)]
+		_ = l.Acquire(context.Background(), ticket)
+		l.Release(ticket, time.Millisecond)
+	}
+}
+
 // TestMaxWait fills a target whose calls hold a slot for 100 ms. A call that can be
 // tried elsewhere must be refused at once, and another call must wait.
 func TestMaxWait(t *testing.T) {
@@ -127,19 +143,3 @@
 		is.Equal(hold, 100*time.Millisecond)
 	})
 }
-
-// BenchmarkAcquireTenants acquires slots for many tenants in turn.
-func BenchmarkAcquireTenants(b *testing.B) {
-	l := New(20, 40)
-	tickets := make([]Ticket, 79)
-	for i := range tickets {
-		tickets[i].Tenant = strconv.Itoa(i)
-		tickets[i].Weight = 1
-	}
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		ticket := tickets[i%len(tickets)]
-		_ = l.Acquire(context.Background(), ticket)
-		l.Release(ticket, time.Millisecond)
-	}
-}
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -53,17 +53,19 @@
 // no longer likely to begin in time.
 func (l *Limiter) enqueue(ctx context.Context, ticket Ticket, f *flow) (*waiter, error) {
 	now := l.now()
-	if l.meanHold == 0 {
-		l.meanHold = ticket.Objective / initialHoldDivisor
-	}
 	w := l.newWaiter(ctx, ticket, now)
 	l.tag(w, f, ticket)
-	position := len(l.waiting)
-	for position > 0 && !l.waiting[position-1].before(w) {
-		position--
+	position := l.position(w)
+	if wait := l.expectedWait(position); 0 < ticket.MaxWait && ticket.MaxWait < wait {
+		f.sendBack()
+		return nil, &fireflymoor.BusyError{
+			Wait: wait,
+		}
 	}
-	wait := l.expectedWait(l.grantsBefore(w, l.waiting[:position]))
-	if hasPassed(w.softDeadline, now.Add(wait)) || 0 < ticket.MaxWait && ticket.MaxWait < wait {
+	if l.meanHold == 0 {
+		l.meanHold = ticket.Objective / initialHoldDivisor
+	}
+	if wait := l.expectedWait(l.grantsBefore(w, l.waiting[:position])); hasPassed(w.softDeadline, now.Add(wait)) {
 		return nil, &fireflymoor.BusyError{
 			Wait: wait,
 		}
@@ -76,6 +78,15 @@
 	return w, nil
 }
 
+// position returns the position in the queue of a call that is about to wait.
+func (l *Limiter) position(w *waiter) int {
+	position := len(l.waiting)
+	for position > 0 && !l.waiting[position-1].before(w) {
+		position--
+	}
+	return position
+}
+
 // maxWait returns how long a call of a rank may wait if it is to be answered
 // within its objective.
 func (l *Limiter) maxWait(rank int, objective time.Duration) time.Duration {
