--- a/internal/rationer/aggregator.go
+++ b/internal/rationer/aggregator.go
@@ -216,6 +216,7 @@
 	c := a.contact(s, now)
 	zoneShare := a.members.share(a.members.self.Zone)
 	n := a.accept(report, now)
+	behind := false
 	for i, id := range report.GetTenants() {
 		if n == nil || !complete(report, i) {
 			break
@@ -223,6 +224,7 @@
 		admitted, refused := n.count(report, i)
 		l := a.ledger(s, number, id, now)
 		if l == nil {
+			behind = true
 			continue
 		}
 		l.advance(c, now)
@@ -238,7 +240,10 @@
 		forward.Forwarded = true
 		s.forwards = append(s.forwards, forward)
 	}
-	return a.grants(s, number, c, now)
+	grants := a.grants(s, number, c, now)
+	// A node that holds a newer configuration may have limits that are unknown here.
+	grants.Young = grants.GetYoung() || behind
+	return grants
 }
 
 // complete reports whether all lists of a report have an element at i.
--- a/internal/rationer/exchange.go
+++ b/internal/rationer/exchange.go
@@ -233,7 +233,7 @@
 		}
 		return reply
 	}
-	if s != nil {
+	if _, known := a.members.byZone[sums.GetZone()]; s != nil && known {
 		a.merge(s, sums, now)
 	}
 	return a.sums(s, number, sums.GetTenants(), now)
--- a/internal/rationer/meter.go
+++ b/internal/rationer/meter.go
@@ -49,8 +49,9 @@
 	shard int
 
 	// admitted and refused are the calls since the node's start, and the
-	// acknowledged ones those that an aggregator has received.
-	admitted, refused           int64
+	// acknowledged ones those that an aggregator has received. Calls that were returned
+	// do not count as admitted.
+	admitted, refused, returned int64
 	ackedAdmitted, ackedRefused int64
 	// due is the number of calls that must be pending for a report.
 	due int64
--- a/internal/rationer/node.go
+++ b/internal/rationer/node.go
@@ -144,11 +144,12 @@
 }
 
 // Return gives back a call that was admitted and has not run.
-func (n *Node) Return(tenant string, _ time.Time) {
+func (n *Node) Return(tenant string) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	if m := n.byName[tenant]; m != nil {
 		m.admitted--
+		m.returned++
 		m.tokens++
 	}
 }
@@ -361,8 +362,9 @@
 	Tenant string
 	// Rate is the limit in calls a second over all nodes.
 	Rate float64
-	// Admitted and Refused are the calls since the node's start.
-	Admitted, Refused int64
+	// Admitted and Refused are the calls since the node's start, and Returned those of
+	// the admitted ones that did not run.
+	Admitted, Refused, Returned int64
 	// Fraction is the part of the tenant's calls that is admitted.
 	Fraction float64
 	// Share is the part of the limit that this node's admitted calls use.
@@ -382,8 +384,9 @@
 		usages = append(usages, Usage{
 			Tenant:   name,
 			Rate:     m.limit.rate,
-			Admitted: m.admitted,
+			Admitted: m.admitted + m.returned,
 			Refused:  m.refused,
+			Returned: m.returned,
 			Fraction: fraction,
 			Share:    m.offered.get(now, offeredPeriod) * fraction / m.limit.rate,
 		})
--- a/internal/runner/control_server.go
+++ b/internal/runner/control_server.go
@@ -29,6 +29,21 @@
 	return nil, errors.New("a control replica has no targets")
 }
 
+// ReportTenants implements messenger.DRPCOverlayServer.
+func (cs *controlServer) ReportTenants(context.Context, *messenger.TenantReport) (*messenger.TenantGrants, error) {
+	return nil, errNoLimits
+}
+
+// PushTenantGrants implements messenger.DRPCOverlayServer.
+func (cs *controlServer) PushTenantGrants(context.Context, *messenger.TenantGrants) (*messenger.Empty, error) {
+	return nil, errNoLimits
+}
+
+// ExchangeTenants implements messenger.DRPCOverlayServer.
+func (cs *controlServer) ExchangeTenants(context.Context, *messenger.TenantSums) (*messenger.TenantSums, error) {
+	return nil, errNoLimits
+}
+
 // Confirm implements messenger.DRPCSourceServer. It returns only a version that a
 // quorum has confirmed after the request arrived.
 func (cs *controlServer) Confirm(ctx context.Context, _ *messenger.Empty) (*messenger.ConfirmReply, error) {
