--- a/internal/rationer/aggregator.go
+++ b/internal/rationer/aggregator.go
@@ -69,9 +69,9 @@
 // reportingNode holds the last counts of a node.
 type reportingNode struct {
 	boot uint64
-	// heardAt is the time of the last report. recent is set if the one before was
-	// shortly before it.
-	heardAt time.Time
+	// sentAt is when the last report was sent, by the node's clock: messages may be held
+	// back for long. recent is set if the one before was sent shortly before it.
+	sentAt  time.Time
 	recent  bool
 	numbers map[uint32]uint64
 	counts  map[uint64]counts
@@ -215,7 +215,7 @@
 	s := a.serve(number, now)
 	c := a.contact(s, now)
 	zoneShare := a.members.share(a.members.self.Zone)
-	n := a.accept(report, now)
+	n := a.accept(report)
 	behind := false
 	for i, id := range report.GetTenants() {
 		if n == nil || !complete(report, i) {
@@ -253,7 +253,7 @@
 
 // accept returns the counts of the node that has sent a report, or nil if the report is
 // not newer than the last one.
-func (a *Aggregator) accept(report *messenger.TenantReport, now time.Time) *reportingNode {
+func (a *Aggregator) accept(report *messenger.TenantReport) *reportingNode {
 	n := a.nodes[report.GetNode()]
 	if n == nil || n.boot < report.GetBoot() {
 		n = &reportingNode{
@@ -266,8 +266,9 @@
 	if n.boot > report.GetBoot() || report.GetNumber() <= n.numbers[report.GetShard()] {
 		return nil
 	}
-	n.recent = now.Sub(n.heardAt) < baselineTimeout
-	n.heardAt = now
+	sentAt := time.UnixMilli(report.GetUnixMilliseconds())
+	n.recent = sentAt.Sub(n.sentAt) < baselineTimeout
+	n.sentAt = sentAt
 	n.numbers[report.GetShard()] = report.GetNumber()
 	return n
 }
--- a/internal/rationer/ledger.go
+++ b/internal/rationer/ledger.go
@@ -21,6 +21,7 @@
 	// baselineTimeout the age from which new ones are not compared with them.
 	remoteTimeout   = 1500 * time.Millisecond
 	baselineTimeout = 3 * time.Second
+	mergeFactor     = 2
 	// A zone's calls are near the limit if they exceed nearFactor of the zone's
 	// share of it, and nearRate calls a second for small tenants. They are also
 	// near it if the level is below nearLevel of the depth. They stay near it for
@@ -220,13 +221,17 @@
 	return !l.limitedAt.IsZero() && now.Sub(l.limitedAt) < settleTime
 }
 
-// merge takes over the sums of another aggregator.
+// merge takes over the sums of another aggregator. The calls that it has admitted since
+// the last sums are charged up to mergeFactor times what its rate explains: when a
+// partition ends, sums that were held back arrive at once, and their calls were charged
+// as the zone's share of the limit.
 func (l *ledger) merge(name string, r remote) {
 	known := l.remotes[name]
 	if known == nil || known.boot != r.boot || r.at.Sub(known.at) > baselineTimeout {
 		r.charged = r.admitted
 	} else {
-		r.charged = known.charged
+		explained := max(known.admittedRate, r.admittedRate) * r.at.Sub(known.at).Seconds()
+		r.charged = max(known.charged, r.admitted-mergeFactor*explained-1)
 	}
 	l.remotes[name] = &r
 }
--- a/internal/rationer/node.go
+++ b/internal/rationer/node.go
@@ -188,7 +188,7 @@
 		if c.sending || now.Before(c.due) {
 			continue
 		}
-		report := n.report(shard, c)
+		report := n.report(shard, c, now)
 		if report == nil {
 			continue
 		}
@@ -229,12 +229,14 @@
 
 // report returns a report of the calls that are not acknowledged yet, or nil if there
 // are too few.
-func (n *Node) report(shard int, c *channel) *messenger.TenantReport {
+func (n *Node) report(shard int, c *channel, now time.Time) *messenger.TenantReport {
 	report := &messenger.TenantReport{
 		Node:   n.members.self.Name,
 		Boot:   n.boot,
 		Number: c.number + 1,
 		Shard:  uint32(shard),
+
+		UnixMilliseconds: now.UnixMilli(),
 	}
 	for id, m := range c.meters {
 		admitted, refused := m.pending()
