--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -34,6 +34,8 @@
 	// Admit reports whether a call of a tenant may run, and counts it if so. If not,
 	// it returns the time after which the tenant may call again.
 	Admit(tenant fireflymoor.Tenant, now time.Time) (admitted bool, retryAfter time.Duration)
+	// Return gives back an admitted call that has not run.
+	Return(tenant fireflymoor.Tenant)
 }
 
 // identity is on whose behalf a call is made.
@@ -195,7 +197,7 @@
 // checkQuota returns a refusal if the call exceeds the rate of its tenant, or nil.
 // Nested calls are part of a call that was admitted.
 func (h *Handler) checkQuota(i identity, now time.Time) *fireflymoor.Refusal {
-	if h.options.Quota == nil || i.nested || i.tenant.Name == "" {
+	if !h.isCounted(i) {
 		return nil
 	}
 	admitted, retryAfter := h.options.Quota.Admit(i.tenant, now)
@@ -207,6 +209,20 @@
 	return r
 }
 
+// isCounted reports whether a call counts towards the rate of its tenant.
+func (h *Handler) isCounted(i identity) bool {
+	return h.options.Quota != nil && !i.nested && i.tenant.Name != ""
+}
+
+// returnQuota gives back a call that has not run. The tenant is the one it was admitted
+// for, also if its key belongs to another one by now.
+func (h *Handler) returnQuota(c *call) {
+	if c.counted {
+		h.options.Quota.Return(c.countedFor)
+		c.counted = false
+	}
+}
+
 // recheckKey looks the call's key up again if another version is in force, such as
 // after a wait. It reports false if the key was withdrawn.
 func (h *Handler) recheckKey(c *call) bool {
--- a/internal/caller/admission_test.go
+++ b/internal/caller/admission_test.go
@@ -226,6 +226,13 @@
 type fixedQuota struct {
 	left    int
 	tenants []string
+	// returned holds the tenants of calls that were given back.
+	returned []string
+}
+
+// Return implements Quota.
+func (q *fixedQuota) Return(tenant fireflymoor.Tenant) {
+	q.returned = append(q.returned, tenant.Name)
 }
 
 // Admit implements Quota.
@@ -253,6 +260,21 @@
 	is.Equal(w.Header().Get(annotator.Outcome), fireflymoor.NotRun.String())
 	is.Equal(f.tries, 3)
 	is.Equal(q.tenants, []string{"first", "first"})
+	is.Equal(len(q.returned), 0) // all admitted calls ran
+}
+
+// TestReturnedQuota checks that a call that no target runs is given back: it would
+// count against its tenant's limit although nothing ran.
+func TestReturnedQuota(t *testing.T) {
+	is := is.New(t)
+	h, _ := newTenantHandler()
+	q := &fixedQuota{left: 1}
+	h.options.Quota = q
+	h.options.Forwarder = &saturatedForwarder{}
+	is.Equal(makeTenantCall(h, "/x", "key-1", "").Code, http.StatusServiceUnavailable)
+	is.Equal(q.returned, []string{"first"})
+	is.Equal(makeTenantCall(h, "/x", "key-1", "").Code, http.StatusTooManyRequests)
+	is.Equal(len(q.returned), 1) // a refused call was not counted
 }
 
 // tenantCounts returns the counts of tenants' calls by the values of their labels.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -152,6 +152,9 @@
 	neighbor string
 	// grant is the granted claim on the call's idempotency key, or nil.
 	grant *claimer.Grant
+	// counted is set if the call counts towards the rate of the tenant countedFor.
+	counted    bool
+	countedFor fireflymoor.Tenant
 }
 
 // ServeHTTP implements http.Handler.
@@ -198,6 +201,9 @@
 		body:     callBody,
 		start:    start,
 		rollout:  newRolloutState(),
+
+		counted:    h.isCounted(a.identity),
+		countedFor: a.identity.tenant,
 	}
 	h.options.Budget.RecordCall(service.Name, start)
 	if key != "" {
@@ -250,6 +256,9 @@
 		if ran {
 			outcome = fireflymoor.Unknown
 		}
+		if outcome == fireflymoor.NotRun {
+			h.returnQuota(c)
+		}
 		c.conclude(ctx, outcome)
 		c.abandonRequest(w)
 		status := failureStatus(ctx, c, outcome, err)
--- a/internal/caller/idempotency.go
+++ b/internal/caller/idempotency.go
@@ -59,6 +59,9 @@
 	}
 	grant, kept, err := h.options.Claims.Claim(ctx, scopedKey, fingerprint(c.request))
 	h.recordClaim(c, grant, err)
+	if err != nil || kept != nil {
+		h.returnQuota(c)
+	}
 	switch {
 	case errors.Is(err, claimer.ErrKeyReused):
 		h.refuseCall(w, c, http.StatusUnprocessableEntity, fireflymoor.NotRun, err.Error())
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -84,6 +84,7 @@
 	// members is the number of members of the overlay.
 	members      atomic.Int64
 	claims       *claims
+	limits       *limits
 	view         atomic.Pointer[fireflymoor.View]
 	viewPending  bool
 	lastRebuild  time.Time
@@ -135,6 +136,7 @@
 		relayFilter: collector.NewFilter(),
 		vetter:      vetter.New(time.Now()),
 	}
+	n.limits = newLimits(m, n.rateLimitedLog())
 	n.remote = forwarder.NewRemote(m.dialer, n.packer, sender.WithBudget(m.heads))
 	n.verifier = verifier.New(n.newestVersion, func() time.Duration {
 		return max(time.Duration(n.members.Load())*queryIntervalPerMember, minQueryInterval)
@@ -177,6 +179,7 @@
 		Budget:       retrier.NewBudget(),
 		RefusalRate:  retrier.NewRefusalRate(),
 		Claims:       claims,
+		Quota:        n.limits,
 		Evidence:     n.evidence,
 		IsCurrent:    func() bool { return n.activity.isCurrent(time.Now()) },
 		Metrics:      caller.NewMetrics(n.registry),
@@ -282,6 +285,7 @@
 	group.Go(func() { n.sequencer.Every(workCtx, relayInterval, func() { n.sendRelayed(workCtx) }) })
 	group.Go(func() { n.vet(workCtx) })
 	group.Go(func() { n.activity.watch(workCtx) })
+	group.Go(func() { n.limits.run(workCtx) })
 	if n.settings.Keys {
 		group.Go(func() { n.sequencer.Every(workCtx, ringInterval, n.pruneRing) })
 		group.Go(func() { n.claims.restore(workCtx, n.log) })
@@ -337,6 +341,22 @@
 	return &messenger.Empty{}, nil
 }
 
+// ReportTenants implements messenger.DRPCOverlayServer.
+func (ns *nodeServer) ReportTenants(_ context.Context, report *messenger.TenantReport) (*messenger.TenantGrants, error) {
+	return ns.node.limits.aggregator.Receive(report, time.Now()), nil
+}
+
+// PushTenantGrants implements messenger.DRPCOverlayServer.
+func (ns *nodeServer) PushTenantGrants(_ context.Context, grants *messenger.TenantGrants) (*messenger.Empty, error) {
+	ns.node.limits.node.Receive(grants, time.Now())
+	return &messenger.Empty{}, nil
+}
+
+// ExchangeTenants implements messenger.DRPCOverlayServer.
+func (ns *nodeServer) ExchangeTenants(_ context.Context, sums *messenger.TenantSums) (*messenger.TenantSums, error) {
+	return ns.node.limits.aggregator.Exchange(sums, time.Now()), nil
+}
+
 // targetsChanged announces the instance's targets to the overlay.
 func (n *node) targetsChanged(targets []*messenger.Target, departures []*messenger.Departure) {
 	n.sequencer.Post(func() {
@@ -401,6 +421,7 @@
 	view := n.View().WithConfiguration(current)
 	n.view.Store(&view)
 	n.targets.Configure(current)
+	n.limits.configure(current)
 	n.log.Info().Uint64("version", current.Number()).Msg("config: in force")
 }
 
@@ -430,6 +451,7 @@
 	n.view.Store(&view)
 	n.tracker.Retain(targets)
 	n.remote.Retain(targets)
+	n.limits.setMembers(n.coordinator.Announcer().Nodes(time.Now(), 0))
 	n.rebuildRing()
 }
 
