--- a/configuration.go
+++ b/configuration.go
@@ -67,6 +67,10 @@
 	Priority int
 	// MaxBody is the maximum size of a call's body, in bytes.
 	MaxBody int64
+	// AuthExempt reports whether calls need no key although there are tenants.
+	AuthExempt bool
+	// Bulk reports whether the route's responses are large and can wait.
+	Bulk bool
 }
 
 // MayRepeat reports whether a call with this method may be sent again after a
@@ -111,6 +115,26 @@
 	return names
 }
 
+// Balance is how nodes choose the targets of calls.
+type Balance int
+
+// The kinds of balance.
+const (
+	// BalanceTwoChoices chooses the better one of two targets.
+	BalanceTwoChoices Balance = iota
+	// BalanceEven makes the utilization of targets even. The node of a full target may
+	// send a call back, so that it is tried at another target.
+	BalanceEven
+	// BalanceAuto is BalanceEven for the services whose targets report their pace, and
+	// BalanceTwoChoices for others.
+	BalanceAuto
+)
+
+// String returns the name that a configuration gives the kind.
+func (b Balance) String() string {
+	return [...]string{"two-choices", "even", "auto"}[b]
+}
+
 // Limits are the limits of a team's proxies that don't belong to one route.
 type Limits struct {
 	// RetryBudget is the maximum share of retries among recent calls, in percent.
@@ -118,6 +142,8 @@
 	// EjectShare is the maximum share of a service's targets that one proxy
 	// may eject at once, in percent.
 	EjectShare int
+	// Balance is how nodes choose the targets of calls.
+	Balance Balance
 	// MaxBody is the maximum size of a call's body on a route that sets none, in
 	// bytes, or 0 if it is not set.
 	MaxBody int64
@@ -142,8 +168,13 @@
 	limits   Limits
 	// byHost holds the indexes in routes by host in lower case, the most specific
 	// route first.
-	byHost   map[string][]int
-	rollouts []Rollout
+	byHost map[string][]int
+	// tenantsByName holds the indexes in tenants by name, and tenantsByKey the positions
+	// of keys by their hashes.
+	tenants       []Tenant
+	tenantsByName map[string]int
+	tenantsByKey  map[[32]byte]keyIndex
+	rollouts      []Rollout
 }
 
 // NewConfiguration returns a new Configuration of team.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -54,14 +54,26 @@
 	// empty.
 	Origin string
 	// IsRunning reports whether a target of this instance is running the call with
-	// an id.
-	IsRunning func(id string) bool
+	// an id, and returns the name of the tenant on whose behalf it runs, or "".
+	IsRunning func(id string) (tenant string, running bool)
+	// Newest returns the number of a version at least as new as any that was accepted
+	// before the call of Newest, or an error if that is not known. If it is nil, the
+	// version in force is taken for the newest.
+	Newest func(ctx context.Context) (uint64, error)
+	// Quota limits the rates of tenants. If it is nil, there are no limits.
+	Quota Quota
 	// Dialect reads and writes the headers that carry the metadata of calls.
 	Dialect fireflymoor.Dialect
 	// Viewer returns the configuration and targets for routing.
 	Viewer fireflymoor.Viewer
 	// Balancer picks a target for each try.
 	Balancer fireflymoor.Balancer
+	// EvenBalancer picks a target instead of Balancer if the configuration says that
+	// the calls are balanced evenly.
+	EvenBalancer fireflymoor.Balancer
+	// LocalLoad returns the current load of a target of this instance. It reports
+	// false if the target is not known. It may be nil.
+	LocalLoad func(id string) (load float64, ok bool)
 	// Forwarder sends calls to targets.
 	Forwarder fireflymoor.Forwarder
 	// Tracker tracks the load of targets.
@@ -118,9 +130,11 @@
 	request *http.Request
 	body    *body
 	start   time.Time
-	// nested is set if a target of this instance makes the call while it runs
-	// another.
-	nested bool
+	// identity is on whose behalf the call is made.
+	identity identity
+	// inZone is set if the call stays in the availability zone because it is a bulk call
+	// and the zone has a target.
+	inZone bool
 	// tried holds the ids of the targets that the call was sent to.
 	tried []string
 	// runs counts the tries that a target may have run.
@@ -130,8 +144,17 @@
 	failedResponse *http.Response
 	// rollout is the state that concerns the roll-out of the service.
 	rollout rolloutState
+	// mayRedirect is set if the node of the target of the current try may send the
+	// call back instead of letting it wait.
+	mayRedirect bool
+	// neighbor is the id of the target that the node of a full target has named, or
+	// empty.
+	neighbor string
 	// grant is the granted claim on the call's idempotency key, or nil.
 	grant *claimer.Grant
+	// counted is set if the call counts towards the rate of the tenant countedFor.
+	counted    bool
+	countedFor fireflymoor.Tenant
 }
 
 // ServeHTTP implements http.Handler.
@@ -142,16 +165,15 @@
 	if id == "" {
 		id = uuid.NewString()
 	}
-	view := h.options.Viewer.View()
-	route, status, reason := matchRoute(view, request)
-	switch {
-	case reason != "":
-		h.refuse(w, id, status, fireflymoor.NotRun, reason)
-		return
-	case metadataErr != nil:
-		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, metadataErr.Error())
+	a, refused := h.admit(request, metadata)
+	if refused == nil {
+		refused = h.checkRequest(request, a, metadataErr)
+	}
+	if refused != nil {
+		h.refuseAdmission(w, id, a, *refused)
 		return
 	}
+	route := a.route
 	timeout := route.Timeout
 	if metadata.TimeLeft > 0 {
 		timeout = min(timeout, metadata.TimeLeft)
@@ -161,57 +183,51 @@
 		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, fmt.Sprintf("the idempotency key is not one of 1 to %d bytes", maxKeyBytes))
 		return
 	}
+	if refused = h.checkQuota(a.identity, start); refused != nil {
+		h.refuseAdmission(w, id, a, *refused)
+		return
+	}
 	ctx, cancel := context.WithTimeout(request.Context(), timeout)
 	defer cancel()
-	service, _ := view.Configuration().Service(route.Choose(rand.Float64()))
+	service, _ := a.view.Configuration().Service(route.Choose(rand.Float64()))
 	callBody := newBody(request.Body, request.ContentLength, route.MaxBody)
 	c := &call{
-		id:      id,
-		route:   route,
-		service: service,
-		view:    view,
-		request: outgoingRequest(request, id, h.options.Origin, route),
-		nested:  metadata.Parent != "" && h.options.IsRunning(metadata.Parent),
-		body:    callBody,
-		start:   start,
-		rollout: newRolloutState(),
+		id:       id,
+		route:    route,
+		service:  service,
+		view:     a.view,
+		request:  h.outgoingRequest(request, id, a),
+		identity: a.identity,
+		body:     callBody,
+		start:    start,
+		rollout:  newRolloutState(),
+
+		counted:    h.isCounted(a.identity),
+		countedFor: a.identity.tenant,
 	}
 	h.options.Budget.RecordCall(service.Name, start)
 	if key != "" {
 		h.serveKeyed(ctx, w, c, key)
-		return
-	}
-	h.serve(ctx, w, c)
-}
-
-// matchRoute returns the route of a request, or the status and reason of a
-// refusal.
-func matchRoute(view fireflymoor.View, request *http.Request) (fireflymoor.Route, int, string) {
-	configuration := view.Configuration()
-	if configuration.Number() == 0 {
-		return fireflymoor.Route{}, http.StatusServiceUnavailable, "no configuration is in force"
-	}
-	route, ok := configuration.Match(request.Host, request.URL.Path)
-	if !ok {
-		return fireflymoor.Route{}, http.StatusNotFound, "no route matches"
-	}
-	if request.ContentLength > route.MaxBody {
-		return fireflymoor.Route{}, http.StatusRequestEntityTooLarge, "the body is too large"
+	} else {
+		h.serve(ctx, w, c)
 	}
-	return route, 0, ""
+	receiver.FinishRequest(w, request)
 }
 
 // outgoingRequest returns a copy of a caller's request with the headers that
-// targets' nodes need.
-func outgoingRequest(request *http.Request, id, origin string, route fireflymoor.Route) *http.Request {
+// targets' nodes need, and without its key.
+func (h *Handler) outgoingRequest(request *http.Request, id string, a admission) *http.Request {
 	outgoing := *request
 	outgoing.Header = request.Header.Clone()
 	annotator.CleanRequest(outgoing.Header)
+	if a.view.Configuration().HasTenants() {
+		h.options.Dialect.RemoveKey(outgoing.Header)
+	}
 	outgoing.Header.Set(annotator.CallID, id)
-	if origin != "" {
-		outgoing.Header.Set(annotator.Origin, origin)
+	if h.options.Origin != "" {
+		outgoing.Header.Set(annotator.Origin, h.options.Origin)
 	}
-	if !route.MayRepeat(request.Method) {
+	if !a.route.MayRepeat(request.Method) {
 		outgoing.Header.Set(annotator.Once, "yes")
 	}
 	return &outgoing
@@ -240,9 +256,18 @@
 		if ran {
 			outcome = fireflymoor.Unknown
 		}
+		if outcome == fireflymoor.NotRun {
+			h.returnQuota(c)
+		}
 		c.conclude(ctx, outcome)
-		receiver.RespondAtOnce(w, c.request)
-		h.refuseWithDelay(w, c.id, failureStatus(ctx, c, outcome), outcome, callerReason(ctx, c, outcome, err), err.Error(), retryDelay(ctx, c.route, outcome))
+		c.abandonRequest(w)
+		status := failureStatus(ctx, c, outcome, err)
+		retryAfter := time.Duration(0)
+		if status != http.StatusUnauthorized {
+			retryAfter = retryDelay(ctx, c.route, outcome)
+		}
+		h.options.Metrics.countTenant(c.identity.tenant.Name, outcome.String())
+		h.refuseWithDelay(w, c.id, status, outcome, callerReason(ctx, c, outcome, err), err.Error(), retryAfter)
 		return
 	}
 }
@@ -250,6 +275,9 @@
 // try sends the call to one target and records the result.
 func (h *Handler) try(ctx context.Context, c *call) (*http.Response, fireflymoor.Outcome, error) {
 	now := time.Now()
+	if !h.recheckKey(c) {
+		return nil, fireflymoor.NotRun, errWithdrawn
+	}
 	pick, ok := h.pick(c, now)
 	if !ok {
 		return nil, fireflymoor.NotRun, errors.Wrapf(errNoTarget, "caller: service %s", c.service.Name)
@@ -259,15 +287,23 @@
 			Str("target", pick.Target.ID).Str("zone", pick.Target.Zone).
 			Int("try", len(c.tried)).Str("reason", pick.Reason).Msg("caller: route")
 	}
+	h.options.Metrics.picks.WithLabelValues(pick.Reason).Inc()
 	c.tried = append(c.tried, pick.Target.ID)
+	c.mayRedirect = pick.MayRedirect && h.mayRedirect(ctx, c)
 	c.request.Header.Set(annotator.CallID, h.tryID(c.id))
 	end := h.options.Tracker.Begin(pick.Target, now)
 	c.request.Header.Set(annotator.TargetID, pick.Target.ID)
 	c.request.Body, c.request.ContentLength = c.body.reader()
 	c.setPriorityHeaders(now)
+	c.setTenantHeaders()
+	if c.route.Bulk {
+		c.request.Header.Set(annotator.Bulk, "yes")
+	}
 	observation := h.observe(c, pick.Target)
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
-	h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
+	if !c.mayRedirect || !isSaturated(outcome, err) {
+		h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
+	}
 	if err != nil {
 		end()
 		h.recordFailure(ctx, c, pick.Target, outcome, err)
@@ -280,8 +316,8 @@
 		h.options.Ejector.RecordSuccess(pick.Target.ID)
 	}
 	h.options.Tracker.RecordResponse(pick.Target, c.route.Name, time.Since(now), time.Now())
-	if load, known := annotator.TakeLoad(response.Header); known {
-		h.options.Tracker.SetLoad(pick.Target, load, time.Now())
+	if report, known := annotator.TakeLoadReport(response.Header); known {
+		h.recordReport(c, pick.Target, report)
 	}
 	response.Body = &trackedBody{
 		ReadCloser: response.Body,
@@ -303,16 +339,34 @@
 	return outcome == fireflymoor.NotRun && errors.Is(err, fireflymoor.ErrBusy) && !errors.Is(err, fireflymoor.ErrRefusedByTarget)
 }
 
-// setPriorityHeaders sets the call's rank and the time within which it should
-// be answered. A nested call gets no such time, as its response is useful for
+// recordReport records the load that a target's node reported.
+func (h *Handler) recordReport(c *call, target fireflymoor.Target, report fireflymoor.LoadReport) {
+	balance := c.view.Configuration().Limits().Balance
+	if balance == fireflymoor.BalanceEven || balance == fireflymoor.BalanceAuto && report.Hold > 0 {
+		h.options.Tracker.RecordReport(target, report, time.Now())
+		return
+	}
+	h.options.Tracker.SetLoad(target, report.Load, time.Now())
+}
+
+// setPriorityHeaders sets the call's rank, the longest wait for a slot and the time
+// within which it should be answered. A tenant's priority replaces that of the route.
+// A nested call gets no such time, as its response is useful for
 // as long as its parent runs.
 func (c *call) setPriorityHeaders(now time.Time) {
 	rank := c.route.Priority
-	if c.nested {
+	switch {
+	case c.identity.nested:
 		rank = nestedRank
+	case c.identity.tenant.HasPriority:
+		rank = c.identity.tenant.Priority
 	}
 	c.request.Header.Set(annotator.Rank, strconv.Itoa(rank))
-	if !c.nested && c.route.Objective > 0 {
+	c.request.Header.Del(annotator.MaxWait)
+	if c.mayRedirect {
+		annotator.SetMilliseconds(c.request.Header, annotator.MaxWait, redirectWait)
+	}
+	if !c.identity.nested && c.route.Objective > 0 {
 		within := max(c.route.Objective-now.Sub(c.start), time.Millisecond)
 		annotator.SetMilliseconds(c.request.Header, annotator.Objective, within)
 	}
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -8,9 +8,35 @@
 	"github.com/fireflymoor/fireflymoor"
 )
 
+// class is a kind of calls whose part of the slots is limited while others wait.
+type class int
+
+const (
+	classOrdinary class = iota
+	classNested
+	classBulk
+)
+
+// class returns the class of a ticket.
+func (t Ticket) class() class {
+	switch {
+	case t.Rank < 0:
+		return classNested
+	case t.Bulk:
+		return classBulk
+	}
+	return classOrdinary
+}
+
 // waiter is a call that waits for a slot.
 type waiter struct {
-	rank int
+	rank  int
+	class class
+	// flow is the call's tenant and rank, or nil if the order is that of arrival.
+	flow *flow
+	// arrived is the virtual time at the call's arrival, start its start tag and cost
+	// the difference to its finish tag.
+	arrived, start, cost float64
 	// softDeadline is when the call should begin. The call is admitted if that is
 	// likely, and refused later if calls queued before it make it unlikely. Zero
 	// means never.
@@ -22,19 +48,23 @@
 	result       chan error
 }
 
-// enqueue adds a call to the queue at the position of its rank, unless the call
-// is not likely to begin in time there. It refuses the calls behind it that are
+// enqueue adds a call to the queue at the position of its rank and share, unless the
+// call is not likely to begin in time there. It refuses the calls behind it that are
 // no longer likely to begin in time.
-func (l *Limiter) enqueue(ctx context.Context, ticket Ticket) (*waiter, error) {
+func (l *Limiter) enqueue(ctx context.Context, ticket Ticket, f *flow) (*waiter, error) {
 	now := l.now()
+	w := l.newWaiter(ctx, ticket, now)
+	l.tag(w, f, ticket)
+	position := l.position(w)
+	if wait := l.expectedWait(position); 0 < ticket.MaxWait && ticket.MaxWait < wait {
+		f.sendBack()
+		return nil, &fireflymoor.BusyError{
+			Wait: wait,
+		}
+	}
 	if l.meanHold == 0 {
 		l.meanHold = ticket.Objective / initialHoldDivisor
 	}
-	w := l.newWaiter(ctx, ticket, now)
-	position := len(l.waiting)
-	for position > 0 && l.waiting[position-1].rank > w.rank {
-		position--
-	}
 	if wait := l.expectedWait(l.grantsBefore(w, l.waiting[:position])); hasPassed(w.softDeadline, now.Add(wait)) {
 		return nil, &fireflymoor.BusyError{
 			Wait: wait,
@@ -48,6 +78,15 @@
 	return w, nil
 }
 
+// position returns the position in the queue of a call that is about to wait.
+func (l *Limiter) position(w *waiter) int {
+	position := len(l.waiting)
+	for position > 0 && !l.waiting[position-1].before(w) {
+		position--
+	}
+	return position
+}
+
 // maxWait returns how long a call of a rank may wait if it is to be answered
 // within its objective.
 func (l *Limiter) maxWait(rank int, objective time.Duration) time.Duration {
@@ -70,6 +109,7 @@
 func (l *Limiter) newWaiter(ctx context.Context, ticket Ticket, now time.Time) *waiter {
 	w := &waiter{
 		rank:   ticket.Rank,
+		class:  ticket.class(),
 		result: make(chan error, 1),
 	}
 	if deadline, ok := ctx.Deadline(); ok {
@@ -114,6 +154,7 @@
 // time, and the calls that exceed the length of the queue.
 func (l *Limiter) refuseLate(now time.Time, from int) {
 	kept := l.waiting[:from]
+	var refused []*flow
 	for _, w := range l.waiting[from:] {
 		wait := l.expectedWait(l.grantsBefore(w, kept))
 		slack := w.softDeadline.Sub(now) / slackDivisor
@@ -126,18 +167,36 @@
 			w.result <- ErrFull
 		default:
 			kept = append(kept, w)
+			continue
+		}
+		if w.flow != nil && !slices.Contains(refused, w.flow) {
+			refused = append(refused, w.flow)
 		}
 	}
 	clear(l.waiting[len(kept):])
 	l.waiting = kept
+	for _, f := range refused {
+		l.retag(f)
+	}
+}
+
+// maxBulk returns how many slots bulk calls may hold while other calls wait.
+func (l *Limiter) maxBulk() int {
+	return max(l.slots/bulkDivisor, 1)
 }
 
-// dequeue removes and returns the call that gets the next slot.
+// dequeue removes and returns the call that gets the next slot: the first one whose
+// class does not hold its part of the slots, or else the first one.
 func (l *Limiter) dequeue() *waiter {
-	index := 0
-	if l.nested >= l.maxNested() {
-		index = max(0, slices.IndexFunc(l.waiting, func(w *waiter) bool { return w.rank >= 0 }))
-	}
+	index := max(0, slices.IndexFunc(l.waiting, func(w *waiter) bool {
+		switch w.class {
+		case classNested:
+			return l.nested < l.maxNested()
+		case classBulk:
+			return l.bulk < l.maxBulk()
+		}
+		return true
+	}))
 	w := l.waiting[index]
 	l.waiting = slices.Delete(l.waiting, index, index+1)
 	return w
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,13 +26,16 @@
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/packer"
+	"github.com/fireflymoor/fireflymoor/internal/pipeliner"
 	"github.com/fireflymoor/fireflymoor/internal/platform"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
+	"github.com/fireflymoor/fireflymoor/internal/verifier"
 	"github.com/fireflymoor/fireflymoor/internal/vetter"
 	"github.com/fireflymoor/fireflymoor/internal/waiter"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
@@ -52,6 +57,15 @@
 	busyRebuildWindow     = time.Second
 	confirmTimeout        = 1500 * time.Millisecond
 	confirmRetryDelay     = 50 * time.Millisecond
+	// minQueryInterval is the minimum time between two queries for the newest version.
+	// It is queryIntervalPerMember for each member if that is more, so that all nodes
+	// together send at most 330 queries a second while clients use invalid keys
+	// everywhere. Each control replica admits 200. With 100 members every call with an
+	// invalid key gets its result within the time that it may wait.
+	minQueryInterval       = 20 * time.Millisecond
+	queryIntervalPerMember = 3 * time.Millisecond
+	// queryTryTimeout is the time after which another replica is queried.
+	queryTryTimeout = 250 * time.Millisecond
 )
 
 var errNotReporter = errors.New("this process does not collect reports")
@@ -60,13 +74,17 @@
 type node struct {
 	*member
 
-	applier      *applier.Applier
-	reports      *reports
-	targets      *target.Registry
-	tracker      *tracker.Tracker
-	packer       *packer.Packer
-	remote       *forwarder.Remote
+	applier  *applier.Applier
+	reports  *reports
+	targets  *target.Registry
+	tracker  *tracker.Tracker
+	packer   *packer.Packer
+	remote   *forwarder.Remote
+	verifier *verifier.Verifier
+	// members is the number of members of the overlay.
+	members      atomic.Int64
 	claims       *claims
+	limits       *limits
 	view         atomic.Pointer[fireflymoor.View]
 	viewPending  bool
 	lastRebuild  time.Time
@@ -87,9 +105,10 @@
 
 	// callers serves local callers, calls serves the calls that other nodes
 	// forward.
-	callers  *http.Server
-	calls    *http.Server
-	platform *http.Server
+	callers   *http.Server
+	calls     *http.Server
+	platform  *http.Server
+	pipeliner *pipeliner.Pipeliner
 	// ready and announcements are served only through an adapter.
 	ready         *http.Server
 	announcements *http.Server
@@ -117,7 +136,11 @@
 		relayFilter: collector.NewFilter(),
 		vetter:      vetter.New(time.Now()),
 	}
+	n.limits = newLimits(m, n.rateLimitedLog())
 	n.remote = forwarder.NewRemote(m.dialer, n.packer, sender.WithBudget(m.heads))
+	n.verifier = verifier.New(n.newestVersion, func() time.Duration {
+		return max(time.Duration(n.members.Load())*queryIntervalPerMember, minQueryInterval)
+	})
 	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
 	n.view.Store(&empty)
 	n.targets = target.NewRegistry(settings.Name, settings.Lease, m.log, n.targetsChanged, func(ctx context.Context) error {
@@ -133,30 +156,36 @@
 
 // initServers creates the HTTP servers of the node.
 func (n *node) initServers() {
-	local := target.NewServer(n.targets, n.dialect(), n.dialer, sender.WithBudget(n.heads))
+	local := target.NewServer(n.targets, n.dialect(), n.dialer, shaper.New(n.settings.LinkRate, n.registry), sender.WithBudget(n.heads))
+	local.UseMetrics(target.NewMetrics(n.registry))
+	local.UseNeighbors(n.freeNeighbor)
 	var claims caller.Claims
 	if n.settings.Keys {
 		claims = n.claims.claimer
 	}
 	handler := caller.New(caller.Options{
-		Node:        n.settings.Name,
-		Origin:      n.settings.CallerService,
-		Dialect:     n.dialect(),
-		IsRunning:   local.IsRunning,
-		Viewer:      n,
-		Balancer:    balancer.NewTwoChoices(),
-		Forwarder:   forwarder.New(n.settings.Name, local, n.remote),
-		Tracker:     n.tracker,
-		Ejector:     ejector.New(),
-		Budget:      retrier.NewBudget(),
-		RefusalRate: retrier.NewRefusalRate(),
-		Claims:      claims,
-		Evidence:    n.evidence,
-		IsCurrent:   func() bool { return n.activity.isCurrent(time.Now()) },
-		Metrics:     caller.NewMetrics(n.registry),
-		Log:         n.rateLimitedLog(),
-		RouteLog:    n.rateLimitedLog(),
-		Decisions:   n.settings.Decisions,
+		Node:         n.settings.Name,
+		Origin:       n.settings.CallerService,
+		Dialect:      n.dialect(),
+		IsRunning:    local.IsRunning,
+		Newest:       n.verifier.Newest,
+		Viewer:       n,
+		Balancer:     balancer.NewTwoChoices(),
+		EvenBalancer: balancer.NewEven(),
+		LocalLoad:    local.Load,
+		Forwarder:    forwarder.New(n.settings.Name, local, n.remote),
+		Tracker:      n.tracker,
+		Ejector:      ejector.New(),
+		Budget:       retrier.NewBudget(),
+		RefusalRate:  retrier.NewRefusalRate(),
+		Claims:       claims,
+		Quota:        n.limits,
+		Evidence:     n.evidence,
+		IsCurrent:    func() bool { return n.activity.isCurrent(time.Now()) },
+		Metrics:      caller.NewMetrics(n.registry),
+		Log:          n.rateLimitedLog(),
+		RouteLog:     n.rateLimitedLog(),
+		Decisions:    n.settings.Decisions,
 	})
 	n.callers = newServer(n.closeWhenLeaving(handler))
 	n.callers.Protocols = &http.Protocols{}
@@ -198,6 +227,20 @@
 	return *n.view.Load()
 }
 
+// freeNeighbor returns the id of a target of a service that this node knows to have a
+// free slot, at another node of the zone, or an empty string.
+func (n *node) freeNeighbor(service string) string {
+	view := n.View()
+	var neighbors []fireflymoor.Target
+	for _, t := range view.Targets(service) {
+		isNeighbor := t.Zone == n.settings.Zone && t.Node != n.settings.Name
+		if isNeighbor && t.State == fireflymoor.Ready && t.Team == view.Configuration().Team() {
+			neighbors = append(neighbors, t)
+		}
+	}
+	return n.tracker.FreeTarget(neighbors, time.Now())
+}
+
 // unreadyReason returns why the node should get no callers, or "" if it is
 // ready.
 func (n *node) unreadyReason() string {
@@ -220,6 +263,14 @@
 
 // start starts the parts specific to a node.
 func (n *node) start(workCtx context.Context, group *sync.WaitGroup) {
+	n.pipeliner = pipeliner.New(pipeliner.Options{
+		Depth:    n.settings.Pipeline,
+		Budget:   n.heads,
+		Leaving:  n.leaving.Load,
+		Registry: n.registry,
+	})
+	n.listeners[n.settings.Callers] = n.pipeliner.Wrap(n.listeners[n.settings.Callers])
+	n.pipeliner.Attach(n.callers)
 	n.serve(group, n.callers, "callers", n.settings.Callers)
 	n.serve(group, n.calls, "calls", n.settings.Calls)
 	n.serve(group, n.platform, "platform", n.settings.Platform)
@@ -234,6 +285,7 @@
 	group.Go(func() { n.sequencer.Every(workCtx, relayInterval, func() { n.sendRelayed(workCtx) }) })
 	group.Go(func() { n.vet(workCtx) })
 	group.Go(func() { n.activity.watch(workCtx) })
+	group.Go(func() { n.limits.run(workCtx) })
 	if n.settings.Keys {
 		group.Go(func() { n.sequencer.Every(workCtx, ringInterval, n.pruneRing) })
 		group.Go(func() { n.claims.restore(workCtx, n.log) })
@@ -252,7 +304,10 @@
 	time.Sleep(n.settings.Grace)
 	n.targets.DrainAll()
 	time.Sleep(drainNoticeDelay)
-	n.shutdown(n.callers, n.calls, n.platform, n.ready, n.announcements)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown)
+	defer cancel()
+	n.pipeliner.Drain(ctx)
+	n.shutdown(ctx, n.callers, n.calls, n.platform, n.ready, n.announcements)
 }
 
 func (n *node) mux() *linker.Mux {
@@ -286,6 +341,22 @@
 	return &messenger.Empty{}, nil
 }
 
+// ReportTenants implements messenger.DRPCOverlayServer.
+func (ns *nodeServer) ReportTenants(_ context.Context, report *messenger.TenantReport) (*messenger.TenantGrants, error) {
+	return ns.node.limits.aggregator.Receive(report, time.Now()), nil
+}
+
+// PushTenantGrants implements messenger.DRPCOverlayServer.
+func (ns *nodeServer) PushTenantGrants(_ context.Context, grants *messenger.TenantGrants) (*messenger.Empty, error) {
+	ns.node.limits.node.Receive(grants, time.Now())
+	return &messenger.Empty{}, nil
+}
+
+// ExchangeTenants implements messenger.DRPCOverlayServer.
+func (ns *nodeServer) ExchangeTenants(_ context.Context, sums *messenger.TenantSums) (*messenger.TenantSums, error) {
+	return ns.node.limits.aggregator.Exchange(sums, time.Now()), nil
+}
+
 // targetsChanged announces the instance's targets to the overlay.
 func (n *node) targetsChanged(targets []*messenger.Target, departures []*messenger.Departure) {
 	n.sequencer.Post(func() {
@@ -350,6 +421,7 @@
 	view := n.View().WithConfiguration(current)
 	n.view.Store(&view)
 	n.targets.Configure(current)
+	n.limits.configure(current)
 	n.log.Info().Uint64("version", current.Number()).Msg("config: in force")
 }
 
@@ -372,12 +444,14 @@
 func (n *node) rebuildView() {
 	n.viewPending = false
 	n.lastRebuild = time.Now()
+	n.members.Store(int64(n.coordinator.Announcer().Len()))
 	targets := n.coordinator.Announcer().Targets()
 	n.vetter.Vet(targets, n.lastRebuild)
 	view := n.View().WithTargets(targets)
 	n.view.Store(&view)
 	n.tracker.Retain(targets)
 	n.remote.Retain(targets)
+	n.limits.setMembers(n.coordinator.Announcer().Nodes(time.Now(), 0))
 	n.rebuildRing()
 }
 
@@ -420,9 +494,34 @@
 	}
 }
 
-// requestConfirm sends a Confirm request to one replica.
-func (n *node) requestConfirm(ctx context.Context, replica loader.Replica) (*messenger.ConfirmReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+// newestVersion returns the number of a version that a quorum confirmed after the call
+// began. It queries the control replicas in random order until one responds.
+func (n *node) newestVersion(ctx context.Context) (uint64, error) {
+	var replicas []loader.Replica
+	if err := n.sequencer.Do(ctx, func() { replicas = slices.Clone(n.replicas()) }); err != nil {
+		return 0, errors.Wrap(err, "node: find the replicas")
+	}
+	rand.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
+	err := errors.New("node: no replica is known")
+	for _, replica := range replicas {
+		var reply *messenger.ConfirmReply
+		reply, err = n.queryConfirmed(ctx, replica, queryTryTimeout)
+		if err == nil && reply.GetLaterMilliseconds() == 0 {
+			return reply.GetNumber(), nil
+		}
+		if err == nil {
+			err = errors.Newf("node: %s did not admit the query", replica.Name)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return 0, err
+}
+
+// queryConfirmed sends a Confirm request to one replica.
+func (n *node) queryConfirmed(ctx context.Context, replica loader.Replica, timeout time.Duration) (*messenger.ConfirmReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply *messenger.ConfirmReply
 	err := n.client.Call(ctx, replica.Address, func(conn drpc.Conn) error {
@@ -430,9 +529,6 @@
 		reply, err = messenger.NewDRPCSourceClient(conn).Confirm(ctx, &messenger.Empty{})
 		return err
 	})
-	if err != nil {
-		n.log.Info().Str("replica", replica.Name).Err(err).Msg("config: not confirmed")
-	}
 	return reply, errors.Wrapf(err, "node: confirm at %s", replica.Name)
 }
 
@@ -440,8 +536,9 @@
 // the request, it returns the time to wait before the next attempt, and 0
 // otherwise.
 func (n *node) confirmAt(ctx context.Context, replica loader.Replica) (time.Duration, error) {
-	reply, err := n.requestConfirm(ctx, replica)
+	reply, err := n.queryConfirmed(ctx, replica, confirmTimeout)
 	if err != nil {
+		n.log.Info().Str("replica", replica.Name).Err(err).Msg("config: not confirmed")
 		return 0, err
 	}
 	if reply.GetLaterMilliseconds() > 0 {
--- a/internal/runner/vet.go
+++ b/internal/runner/vet.go
@@ -37,7 +37,7 @@
 // this node, so that the versions that were due are vetted.
 func (n *node) vetAt(ctx context.Context, replica loader.Replica) bool {
 	asked := time.Now()
-	reply, err := n.requestConfirm(ctx, replica)
+	reply, err := n.queryConfirmed(ctx, replica, confirmTimeout)
 	if err != nil || reply.GetLaterMilliseconds() > 0 {
 		return false
 	}
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -58,6 +58,7 @@
 	limiter      *limiter.Limiter
 	draining     bool
 	renewedAt    time.Time
+	own          ownLoad
 }
 
 // record is the latest state received of a target. It is kept after the target is
@@ -223,6 +224,13 @@
 	}
 }
 
+// current returns the configuration that was applied last.
+func (r *Registry) current() fireflymoor.Configuration {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.configuration
+}
+
 // Withdraw drops a target that has withdrawn its announcement. It returns
 // ErrUnknown if the target is not announced.
 func (r *Registry) Withdraw(id string) error {
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -15,6 +15,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/limiter"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
 )
 
 const (
@@ -23,6 +24,8 @@
 	// target sends a shorter timeout. Targets keep idle connections for 10 s or
 	// more.
 	idleTimeout = 8 * time.Second
+	// defaultWeight is the weight of a tenant that is not in the configuration.
+	defaultWeight = 1
 )
 
 // A Server forwards calls to the targets of a Registry. It alone allocates their
@@ -31,31 +34,57 @@
 	registry  *Registry
 	dialect   fireflymoor.Dialect
 	transport *sender.Transport
+	shaper    *shaper.Shaper
+	metrics   *Metrics
+	// findNeighbor returns the id of a target with a free slot, or is nil.
+	findNeighbor func(service string) string
 
 	lock sync.Mutex
-	// running counts the calls in progress at the targets by the ids that the
+	// running holds the calls in progress at the targets by the ids that the
 	// callers gave them.
-	running map[string]int
+	running map[string]*runningCalls
 }
 
+// runningCalls are the calls in progress with one id.
+type runningCalls struct {
+	count int
+	// tenant is the name of the tenant of the first of them, or empty.
+	tenant string
+}
+
+// errKeyWithdrawn is the error of a call whose key was withdrawn while it waited for a
+// slot.
+var errKeyWithdrawn = errors.New("the key of the call was withdrawn")
+
 // NewServer returns a new Server that uses dialect for the headers of calls to the
-// targets. The options apply to the transport to the targets.
-func NewServer(registry *Registry, dialect fireflymoor.Dialect, dialer *dialer.Dialer, options ...sender.Option) *Server {
+// targets. Bulk responses share the link by shaper. The options apply to the transport
+// to the targets.
+func NewServer(registry *Registry, dialect fireflymoor.Dialect, dialer *dialer.Dialer, shaper *shaper.Shaper, options ...sender.Option) *Server {
 	options = append([]sender.Option{sender.WithResponseMatcher(dialect.SameCall)}, options...)
 	return &Server{
 		registry:  registry,
 		dialect:   dialect,
 		transport: sender.NewTransport(dialer.TrafficDialFunc(dialTimeout), idleTimeout, options...),
-		running:   map[string]int{},
+		shaper:    shaper,
+		running:   map[string]*runningCalls{},
 	}
 }
 
+// UseMetrics makes the server record metrics. It must be called before Forward.
+func (s *Server) UseMetrics(metrics *Metrics) {
+	s.metrics = metrics
+}
+
 // IsRunning reports whether a target of this instance is running the call with
-// an id.
-func (s *Server) IsRunning(id string) bool {
+// an id, and returns the name of the tenant on whose behalf it runs, or "".
+func (s *Server) IsRunning(id string) (tenant string, running bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return s.running[id] > 0
+	calls := s.running[id]
+	if calls == nil {
+		return "", false
+	}
+	return calls.tenant, true
 }
 
 // trackRunning counts a call as running until the returned function is called. It
@@ -65,35 +94,62 @@
 	if err != nil || call.ID == "" {
 		return func() {}
 	}
-	s.addRunning(call.ID, 1)
-	return func() { s.addRunning(call.ID, -1) }
+	s.beginRunning(call.ID, header.Get(annotator.Tenant))
+	return func() { s.endRunning(call.ID) }
 }
 
-// addRunning adds by to the number of running calls with an id.
-func (s *Server) addRunning(id string, by int) {
+func (s *Server) beginRunning(id, tenant string) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.running[id] += by
-	if s.running[id] == 0 {
+	if s.running[id] == nil {
+		s.running[id] = &runningCalls{
+			tenant: tenant,
+		}
+	}
+	s.running[id].count++
+}
+
+func (s *Server) endRunning(id string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.running[id].count--
+	if s.running[id].count == 0 {
 		delete(s.running, id)
 	}
 }
 
 // Forward implements fireflymoor.Forwarder for the targets of this instance.
 func (s *Server) Forward(ctx context.Context, target fireflymoor.Target, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
+	if in.Header.Get(annotator.Bulk) != "" {
+		return s.forwardBulk(ctx, target, in)
+	}
+	return s.forward(ctx, target, in)
+}
+
+// forward acquires a slot of the target for a call and sends the call to it.
+func (s *Server) forward(ctx context.Context, target fireflymoor.Target, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
 	t, err := s.registry.find(target.ID, time.Now())
 	if err != nil {
 		return nil, fireflymoor.NotRun, errors.Wrapf(err, "target %s: find", target.ID)
 	}
-	ticket := readTicket(in.Header)
+	configuration := s.registry.current()
+	ticket := readTicket(in.Header, configuration)
+	keyID := in.Header.Get(annotator.KeyID)
+	arrived := time.Now()
 	if err := t.limiter.Acquire(ctx, ticket); err != nil {
+		s.addReport(t, err)
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(err, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
 	}
 	started := time.Now()
+	s.metrics.observeWait(started.Sub(arrived))
 	if !s.registry.valid(t, started) {
 		t.limiter.Release(ticket, 0)
 		return nil, fireflymoor.NotRun, errors.Wrapf(ErrUnknown, "target %s: take a slot", target.ID)
 	}
+	if s.keyWithdrawn(keyID, configuration) {
+		t.limiter.Release(ticket, 0)
+		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(errKeyWithdrawn, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
+	}
 	untrack := s.trackRunning(in.Header)
 	release := func() {
 		untrack()
@@ -112,15 +168,34 @@
 	return response, fireflymoor.Answered, nil
 }
 
+// keyWithdrawn reports whether the key with an id was in the configuration in which a
+// call arrived, and is not in the current one. A key that this node has never known may
+// be newer than its configuration.
+func (s *Server) keyWithdrawn(id string, atArrival fireflymoor.Configuration) bool {
+	current := s.registry.current()
+	if id == "" || current.Number() == atArrival.Number() || !current.HasTenants() {
+		return false
+	}
+	return atArrival.HasKeyID(id) && !current.HasKeyID(id)
+}
+
 // readTicket reads the ticket of a call from the headers that the forwarding node
-// set.
-func readTicket(header http.Header) limiter.Ticket {
+// set. A tenant that the configuration lacks has the default weight.
+func readTicket(header http.Header, configuration fireflymoor.Configuration) limiter.Ticket {
 	ticket := limiter.Ticket{
 		Objective: annotator.Milliseconds(header, annotator.Objective),
+		Bulk:      header.Get(annotator.Bulk) != "",
+		MaxWait:   annotator.Milliseconds(header, annotator.MaxWait),
 	}
 	if rank, err := strconv.Atoi(header.Get(annotator.Rank)); err == nil {
 		ticket.Rank = rank
 	}
+	if ticket.Tenant = header.Get(annotator.Tenant); ticket.Tenant != "" {
+		ticket.Weight = defaultWeight
+		if tenant, ok := configuration.Tenant(ticket.Tenant); ok {
+			ticket.Weight = tenant.Weight
+		}
+	}
 	return ticket
 }
 
@@ -128,19 +203,22 @@
 func (s *Server) send(ctx context.Context, t *localTarget, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
 	out := sender.Prepare(ctx, in, t.announcement.Address, in.Body, in.ContentLength)
 	origin := out.Header.Get(annotator.Origin)
+	tenant := out.Header.Get(annotator.Tenant)
 	annotator.CleanRequest(out.Header)
 	s.dialect.WriteDispatch(out.Header, fireflymoor.Dispatch{
 		Target:   t.announcement.ID,
 		TimeLeft: remaining(ctx),
 		Origin:   origin,
+		Tenant:   tenant,
 	})
 	response, outcome, err := sender.Send(s.transport, out)
 	if err != nil {
 		return nil, outcome, err
 	}
 	verdict := s.dialect.ReadResponse(out.Header, response.Header, response.StatusCode)
+	t.own.record(verdict.Load, time.Now())
 	if verdict.Err == nil && !verdict.NotRun {
-		annotator.SetLoad(response.Header, t.limiter.Load())
+		s.setLoad(t, response.Header)
 		return response, fireflymoor.Answered, nil
 	}
 	_ = response.Body.Close()
@@ -151,6 +229,16 @@
 	return nil, fireflymoor.NotRun, errors.Mark(err, fireflymoor.ErrRefusedByTarget)
 }
 
+// setLoad writes the target's load to the header of a response. Nodes that balance
+// evenly get the longer form.
+func (s *Server) setLoad(t *localTarget, header http.Header) {
+	if t.isEven(s.registry.balance()) {
+		annotator.SetLoadReport(header, t.report(1, time.Now()))
+		return
+	}
+	annotator.SetLoad(header, t.limiter.Load())
+}
+
 // remaining returns the time until the deadline of ctx, or 0 if it has none.
 func remaining(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
