internal/caller: keep bulk calls in their zone during a roll-out

A bulk call that the share sent to the new version left its zone if the new targets were in other zones only. It now goes to an old target of its zone.

--- a/internal/caller/rollout.go
+++ b/internal/caller/rollout.go
@@ -84,13 +84,21 @@
 				members = append(members, all[i])
 			}
 		}
-		if targets := c.untried(members, group.readyOnly); len(targets) > 0 {
+		targets := c.untried(members, group.readyOnly)
+		leavesZone := group.readyOnly && c.route.Bulk && !h.hasLocal(targets) && h.hasLocal(all)
+		if len(targets) > 0 && !leavesZone {
 			return targets
 		}
 	}
 	return nil
 }
 
+// hasLocal reports whether one of the targets is in this node's availability zone. A
+// bulk call goes to the old version rather than to a new target in another zone.
+func (h *Handler) hasLocal(targets []fireflymoor.Target) bool {
+	return slices.ContainsFunc(targets, h.options.Tracker.IsSameZone)
+}
+
 // vetted returns the targets that are not unvetted, or all of them if there is no other
 // that gets new work.
 func vetted(all []fireflymoor.Target) []fireflymoor.Target {
--- a/internal/caller/rollout_test.go
+++ b/internal/caller/rollout_test.go
@@ -28,20 +28,27 @@
 	without, unvetted string
 	// respond returns the response of a version, or nil for a target that breaks off.
 	respond func(version string) *http.Response
-	tries   map[string]int
-	calls   []collector.Call
+	// bulk makes the route one for bulk calls, with targets of v2 in another zone.
+	bulk  bool
+	tries map[string]int
+	calls []collector.Call
 }
 
 // View implements fireflymoor.Viewer.
 func (f *versionForwarder) View() fireflymoor.View {
 	var targets []fireflymoor.Target
 	for i, version := range []string{"v1", "v1", "v2", "v2", "v3", "v3"} {
+		zone := "zone"
+		if f.bulk && version == "v2" {
+			zone = "other"
+		}
 		if version != f.without {
 			targets = append(targets, fireflymoor.Target{
 				ID:      strconv.Itoa(i),
 				Service: "a",
 				Team:    "team",
 				Version: version,
+				Zone:    zone,
 				Slots:   20,
 
 				Unvetted: version == f.unvetted,
@@ -50,6 +57,11 @@
 	}
 	view := f.drainingForwarder.View()
 	configuration := view.Configuration()
+	if f.bulk {
+		routes := configuration.Routes()
+		routes[0].Bulk = true
+		configuration = fireflymoor.NewConfiguration("team", configuration.Services(), routes, configuration.Limits()).WithNumber(1)
+	}
 	if f.rollout.Service != "" {
 		configuration = configuration.WithRollouts([]fireflymoor.Rollout{f.rollout})
 	}
@@ -111,6 +123,17 @@
 	is.Equal(len(vetted(targets)), 2)
 }
 
+// TestBulkStaysInZone serves bulk calls while the new version has targets in another
+// zone only. Bulk traffic must not leave the zone because of a roll-out.
+func TestBulkStaysInZone(t *testing.T) {
+	is := is.New(t)
+	f := newVersionForwarder(runningRollout(0.5))
+	f.bulk = true
+	f.serve(200, true)
+	is.Equal(f.tries["v2"], 0)
+	is.Equal(f.tries["v1"], 200)
+}
+
 func runningRollout(share float64) fireflymoor.Rollout {
 	return fireflymoor.Rollout{
 		Service:  "a",
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -198,11 +198,16 @@
 		RelativeHold: e.relativeHold(now),
 		Stalled:      e.stalled(now),
 		Weight:       weight,
-		SameZone:     target.Zone == t.zone,
+		SameZone:     t.IsSameZone(target),
 		SameInstance: target.Node == t.node,
 	}
 }
 
+// IsSameZone reports whether a target is in the proxy's availability zone.
+func (t *Tracker) IsSameZone(target fireflymoor.Target) bool {
+	return target.Zone == t.zone
+}
+
 // Retain drops all targets except the given ones, and the loads of zones
 // without any of these.
 func (t *Tracker) Retain(keep []fireflymoor.Target) {
