Set the default balance in the settings of a node

Nodes of the version before refuse a configuration with the key balance, which the adapter wrote into every one: a fleet that is upgraded node by node would have kept its old configuration.

--- a/configuration.go
+++ b/configuration.go
@@ -120,8 +120,11 @@
 
 // The kinds of balance.
 const (
+	// BalanceDefault is the kind that the settings of a node give, or
+	// BalanceTwoChoices.
+	BalanceDefault Balance = iota
 	// BalanceTwoChoices chooses the better one of two targets.
-	BalanceTwoChoices Balance = iota
+	BalanceTwoChoices
 	// BalanceEven makes the utilization of targets even. The node of a full target may
 	// send a call back, so that it is tried at another target.
 	BalanceEven
@@ -132,7 +135,17 @@
 
 // String returns the name that a configuration gives the kind.
 func (b Balance) String() string {
-	return [...]string{"two-choices", "even", "auto"}[b]
+	return [...]string{"default", "two-choices", "even", "auto"}[b]
+}
+
+// ParseBalance returns the kind with a name, and false if there is none.
+func ParseBalance(name string) (Balance, bool) {
+	for b := BalanceTwoChoices; b <= BalanceAuto; b++ {
+		if b.String() == name {
+			return b, true
+		}
+	}
+	return BalanceDefault, false
 }
 
 // Limits are the limits of a team's proxies that don't belong to one route.
@@ -201,6 +214,15 @@
 	return c
 }
 
+// WithDefaultBalance returns a copy of the configuration with a kind of balance, if it
+// gives none itself.
+func (c Configuration) WithDefaultBalance(balance Balance) Configuration {
+	if c.limits.Balance == BalanceDefault {
+		c.limits.Balance = balance
+	}
+	return c
+}
+
 // WithNumber returns a copy of the configuration with the version number.
 func (c Configuration) WithNumber(number uint64) Configuration {
 	c.number = number
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -50,7 +50,7 @@
 // reports nothing.
 func (h *Handler) recordRefusal(c *call, target fireflymoor.Target, err error) {
 	busy := &fireflymoor.BusyError{}
-	if !errors.As(err, &busy) || busy.Report == nil || c.view.Configuration().Limits().Balance == fireflymoor.BalanceTwoChoices {
+	if !errors.As(err, &busy) || busy.Report == nil || c.view.Configuration().Limits().Balance <= fireflymoor.BalanceTwoChoices {
 		h.options.Tracker.RecordRefusal(target, time.Now())
 		return
 	}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
 )
@@ -88,6 +89,9 @@
 	Keys bool
 	// KeyWindow is the time for which an idempotency key is stored.
 	KeyWindow time.Duration
+	// Balance is how the node chooses the targets of calls if its configuration does not
+	// say so.
+	Balance fireflymoor.Balance
 	// Pipeline is the maximum number of pipelined requests of a caller's connection in
 	// progress at once.
 	Pipeline int
@@ -213,6 +217,7 @@
 	case "callers":
 		s.CallerService = section.String("service", "")
 		s.Keys = section.Bool("keys", true)
+		s.Balance = readBalance(section)
 		s.Pipeline = section.Int("pipeline", 1, 1, maxPipeline)
 		s.KeyWindow = section.Duration("key-window", defaultKeyWindow, minKeyWindow, maxKeyWindow)
 	case "link":
@@ -227,6 +232,15 @@
 	}
 }
 
+func readBalance(section *parser.Section) fireflymoor.Balance {
+	text := section.String("balance", "")
+	balance, ok := fireflymoor.ParseBalance(text)
+	if text != "" && !ok {
+		section.Fault("balance", fmt.Sprintf("%q is not two-choices, even or auto", text))
+	}
+	return balance
+}
+
 // readLink reads the rate of the link, which is a decimal number of megabits a second.
 func (s *Settings) readLink(section *parser.Section) {
 	text := section.String("megabits", "")
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -416,7 +416,7 @@
 		}
 		return
 	}
-	current := n.applier.Current()
+	current := n.applier.Current().WithDefaultBalance(n.settings.Balance)
 	n.coordinator.SetHeldVersion(current.Number())
 	view := n.View().WithConfiguration(current)
 	n.view.Store(&view)
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -223,14 +223,12 @@
 
 // readBalance reads how nodes choose the targets of calls.
 func readBalance(s *Section) fireflymoor.Balance {
-	text := s.String("balance", fireflymoor.BalanceTwoChoices.String())
-	for _, b := range []fireflymoor.Balance{fireflymoor.BalanceTwoChoices, fireflymoor.BalanceEven, fireflymoor.BalanceAuto} {
-		if text == b.String() {
-			return b
-		}
+	text := s.String("balance", "")
+	balance, ok := fireflymoor.ParseBalance(text)
+	if text != "" && !ok {
+		s.Fault("balance", fmt.Sprintf("%q is not two-choices, even or auto", text))
 	}
-	s.Fault("balance", fmt.Sprintf("%q is not two-choices, even or auto", text))
-	return fireflymoor.BalanceTwoChoices
+	return balance
 }
 
 // checkReferences notes a fault for each route that leads to an unknown service or
