Name the counter of limited tenants' calls differently, and answer 503 for unknown parents

Two counters had one name, so that no node started. A nested call whose parent its node no longer knows, as after a restart, got 401, although its target is no client without a key: it gets 503, as not run.

--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -26,7 +26,9 @@
 
 var (
 	errUnknownKey = errors.New("the call has no valid key")
-	errWithdrawn  = errors.New("the key of the call was withdrawn")
+	// errUnknownParent is the reason of a call without a key whose parent is not running.
+	errUnknownParent = errors.New("the call that this one is made for is not running")
+	errWithdrawn     = errors.New("the key of the call was withdrawn")
 )
 
 // A Quota limits the rates of tenants' calls.
@@ -166,10 +168,15 @@
 		tenant, a.identity.nested = h.options.IsRunning(metadata.Parent)
 		a.identity.tenant = namedTenant(configuration, tenant)
 	}
-	if tenants && !a.identity.nested && !route.AuthExempt {
-		return refusal(http.StatusUnauthorized, errUnknownKey.Error())
+	switch {
+	case !tenants || a.identity.nested || route.AuthExempt:
+		return nil
+	case metadata.Parent != "":
+		// The target still runs the parent after its node has restarted or given the
+		// parent up. The call may not run, but its target is no client without a key.
+		return refusal(http.StatusServiceUnavailable, errUnknownParent.Error())
 	}
-	return nil
+	return refusal(http.StatusUnauthorized, errUnknownKey.Error())
 }
 
 // namedTenant returns the tenant with a name, also if the configuration no longer has
--- a/internal/rationer/metrics.go
+++ b/internal/rationer/metrics.go
@@ -28,7 +28,7 @@
 func NewCollector(node *Node) *Collector {
 	return &Collector{
 		node: node,
-		calls: prometheus.NewDesc("fireflymoor_tenant_calls_total",
+		calls: prometheus.NewDesc("fireflymoor_tenant_limited_calls_total",
 			"Calls of tenants with a rate limit that arrived at this node, by what the limit decided.", []string{"tenant", "result"}, nil),
 		rate: prometheus.NewDesc("fireflymoor_tenant_limit",
 			"Limit of a tenant over all nodes, in calls a second.", []string{"tenant"}, nil),
