--- a/cmd/fireflymoor/operate.go
+++ b/cmd/fireflymoor/operate.go
@@ -303,9 +303,9 @@
 		return err
 	}
 	return c.show(targets, func(w *tabwriter.Writer) {
-		fmt.Fprintln(w, "TARGET\tSERVICE\tTEAM\tZONE\tSLOTS\tSTATE")
+		fmt.Fprintln(w, "TARGET\tSERVICE\tVERSION\tTEAM\tZONE\tSLOTS\tSTATE")
 		for _, t := range targets {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\n", t.ID, t.Service, t.Team, t.Zone, t.Slots, t.State)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", t.ID, t.Service, t.Version, t.Team, t.Zone, t.Slots, t.State)
 		}
 	})
 }
