--- a/configuration.go
+++ b/configuration.go
@@ -115,6 +115,39 @@
 	return names
 }
 
+// Balance is how nodes choose the targets of calls.
+type Balance int
+
+// The kinds of balance.
+const (
+	// BalanceDefault is the kind that the settings of a node give, or
+	// BalanceTwoChoices.
+	BalanceDefault Balance = iota
+	// BalanceTwoChoices chooses the better one of two targets.
+	BalanceTwoChoices
+	// BalanceEven makes the utilization of targets even. The node of a full target may
+	// send a call back, so that it is tried at another target.
+	BalanceEven
+	// BalanceAuto is BalanceEven for the services whose targets report their pace, and
+	// BalanceTwoChoices for others.
+	BalanceAuto
+)
+
+// String returns the name that a configuration gives the kind.
+func (b Balance) String() string {
+	return [...]string{"default", "two-choices", "even", "auto"}[b]
+}
+
+// ParseBalance returns the kind with a name, and false if there is none.
+func ParseBalance(name string) (Balance, bool) {
+	for b := BalanceTwoChoices; b <= BalanceAuto; b++ {
+		if b.String() == name {
+			return b, true
+		}
+	}
+	return BalanceDefault, false
+}
+
 // Limits are the limits of a team's proxies that don't belong to one route.
 type Limits struct {
 	// RetryBudget is the maximum share of retries among recent calls, in percent.
@@ -122,6 +155,8 @@
 	// EjectShare is the maximum share of a service's targets that one proxy
 	// may eject at once, in percent.
 	EjectShare int
+	// Balance is how nodes choose the targets of calls.
+	Balance Balance
 	// MaxBody is the maximum size of a call's body on a route that sets none, in
 	// bytes, or 0 if it is not set.
 	MaxBody int64
@@ -147,11 +182,12 @@
 	// byHost holds the indexes in routes by host in lower case, the most specific
 	// route first.
 	byHost map[string][]int
-	// tenantsByName and tenantsByKey hold the indexes in tenants by name and by the
-	// hash of each key.
+	// tenantsByName holds the indexes in tenants by name, and tenantsByKey the positions
+	// of keys by their hashes.
 	tenants       []Tenant
 	tenantsByName map[string]int
-	tenantsByKey  map[[32]byte]int
+	tenantsByKey  map[[32]byte]keyIndex
+	rollouts      []Rollout
 }
 
 // NewConfiguration returns a new Configuration of team.
@@ -178,6 +214,15 @@
 	return c
 }
 
+// WithDefaultBalance returns a copy of the configuration with a kind of balance, if it
+// gives none itself.
+func (c Configuration) WithDefaultBalance(balance Balance) Configuration {
+	if c.limits.Balance == BalanceDefault {
+		c.limits.Balance = balance
+	}
+	return c
+}
+
 // WithNumber returns a copy of the configuration with the version number.
 func (c Configuration) WithNumber(number uint64) Configuration {
 	c.number = number
--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -26,7 +26,9 @@
 
 var (
 	errUnknownKey = errors.New("the call has no valid key")
-	errWithdrawn  = errors.New("the key of the call was withdrawn")
+	// errUnknownParent is the reason of a call without a key whose parent is not running.
+	errUnknownParent = errors.New("the call that this one is made for is not running")
+	errWithdrawn     = errors.New("the key of the call was withdrawn")
 )
 
 // A Quota limits the rates of tenants' calls.
@@ -69,6 +71,19 @@
 	}
 }
 
+// refuseAdmission responds to a call that is refused before it is sent.
+func (h *Handler) refuseAdmission(w http.ResponseWriter, id string, a admission, r fireflymoor.Refusal) {
+	switch r.Status {
+	case http.StatusUnauthorized:
+		h.options.Metrics.countTenant(noTenant, resultUnauthorized)
+	case http.StatusTooManyRequests:
+		h.options.Metrics.countTenant(a.identity.tenant.Name, resultLimited)
+	default:
+		h.options.Metrics.countTenant(a.identity.tenant.Name, r.Outcome.String())
+	}
+	h.refuseWithDelay(w, id, r.Status, r.Outcome, r.Reason, r.Reason, r.RetryAfter)
+}
+
 // admit finds a call's route and its tenant, or returns why the call is refused.
 func (h *Handler) admit(request *http.Request, metadata fireflymoor.CallMetadata) (admission, *fireflymoor.Refusal) {
 	a := admission{
@@ -80,7 +95,9 @@
 	}
 	newer, err := h.awaitNewest(request.Context(), a.view)
 	if err != nil {
-		h.options.Log.Info().Err(err).Msg("caller: it is not known whether a key is valid")
+		if h.options.Decisions {
+			h.options.Log.Info().Err(err).Msg("caller: it is not known whether a key is valid")
+		}
 		unsure := refusal(http.StatusServiceUnavailable, "it is not known whether the key is valid")
 		unsure.RetryAfter = versionRetryDelay
 		return a, unsure
@@ -151,10 +168,15 @@
 		tenant, a.identity.nested = h.options.IsRunning(metadata.Parent)
 		a.identity.tenant = namedTenant(configuration, tenant)
 	}
-	if tenants && !a.identity.nested && !route.AuthExempt {
-		return refusal(http.StatusUnauthorized, errUnknownKey.Error())
+	switch {
+	case !tenants || a.identity.nested || route.AuthExempt:
+		return nil
+	case metadata.Parent != "":
+		// The target still runs the parent after its node has restarted or given the
+		// parent up. The call may not run, but its target is no client without a key.
+		return refusal(http.StatusServiceUnavailable, errUnknownParent.Error())
 	}
-	return nil
+	return refusal(http.StatusUnauthorized, errUnknownKey.Error())
 }
 
 // namedTenant returns the tenant with a name, also if the configuration no longer has
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -68,6 +68,12 @@
 	Viewer fireflymoor.Viewer
 	// Balancer picks a target for each try.
 	Balancer fireflymoor.Balancer
+	// EvenBalancer picks a target instead of Balancer if the configuration says that
+	// the calls are balanced evenly.
+	EvenBalancer fireflymoor.Balancer
+	// LocalLoad returns the current load of a target of this instance. It reports
+	// false if the target is not known. It may be nil.
+	LocalLoad func(id string) (load float64, ok bool)
 	// Forwarder sends calls to targets.
 	Forwarder fireflymoor.Forwarder
 	// Tracker tracks the load of targets.
@@ -82,6 +88,12 @@
 	// Claims prevents calls with the same idempotency key from running twice. If
 	// it is nil, keys are passed on like any other header.
 	Claims Claims
+	// Evidence records calls to services under roll-out. It may be nil.
+	Evidence Evidence
+	// IsCurrent reports whether the shares of roll-outs in the configuration may be
+	// used, which they may not in a process that was suspended. If it is nil, they
+	// always may.
+	IsCurrent func() bool
 	// Metrics counts calls.
 	Metrics *Metrics
 	// RouteLog receives one line for each pick of a target, and Log all other
@@ -120,6 +132,9 @@
 	start   time.Time
 	// identity is on whose behalf the call is made.
 	identity identity
+	// inZone is set if the call stays in the availability zone because it is a bulk call
+	// and the zone has a target.
+	inZone bool
 	// tried holds the ids of the targets that the call was sent to.
 	tried []string
 	// runs counts the tries that a target may have run.
@@ -127,6 +142,14 @@
 	// failedResponse is the response of a target that failed. It is returned
 	// if no other target responds.
 	failedResponse *http.Response
+	// rollout is the state that concerns the roll-out of the service.
+	rollout rolloutState
+	// mayRedirect is set if the node of the target of the current try may send the
+	// call back instead of letting it wait.
+	mayRedirect bool
+	// neighbor is the id of the target that the node of a full target has named, or
+	// empty.
+	neighbor string
 	// grant is the granted claim on the call's idempotency key, or nil.
 	grant *claimer.Grant
 	// counted is set if the call counts towards the rate of the tenant countedFor.
@@ -147,7 +170,7 @@
 		refused = h.checkRequest(request, a, metadataErr)
 	}
 	if refused != nil {
-		h.refuseWithDelay(w, id, refused.Status, refused.Outcome, refused.Reason, refused.Reason, refused.RetryAfter)
+		h.refuseAdmission(w, id, a, *refused)
 		return
 	}
 	route := a.route
@@ -161,7 +184,7 @@
 		return
 	}
 	if refused = h.checkQuota(a.identity, start); refused != nil {
-		h.refuseWithDelay(w, id, refused.Status, refused.Outcome, refused.Reason, refused.Reason, refused.RetryAfter)
+		h.refuseAdmission(w, id, a, *refused)
 		return
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), timeout)
@@ -177,6 +200,7 @@
 		identity: a.identity,
 		body:     callBody,
 		start:    start,
+		rollout:  newRolloutState(),
 
 		counted:    h.isCounted(a.identity),
 		countedFor: a.identity.tenant,
@@ -184,9 +208,10 @@
 	h.options.Budget.RecordCall(service.Name, start)
 	if key != "" {
 		h.serveKeyed(ctx, w, c, key)
-		return
+	} else {
+		h.serve(ctx, w, c)
 	}
-	h.serve(ctx, w, c)
+	receiver.FinishRequest(w, request)
 }
 
 // outgoingRequest returns a copy of a caller's request with the headers that
@@ -235,12 +260,13 @@
 			h.returnQuota(c)
 		}
 		c.conclude(ctx, outcome)
-		receiver.RespondAtOnce(w, c.request)
+		c.abandonRequest(w)
 		status := failureStatus(ctx, c, outcome, err)
 		retryAfter := time.Duration(0)
 		if status != http.StatusUnauthorized {
 			retryAfter = retryDelay(ctx, c.route, outcome)
 		}
+		h.options.Metrics.countTenant(c.identity.tenant.Name, outcome.String())
 		h.refuseWithDelay(w, c.id, status, outcome, callerReason(ctx, c, outcome, err), err.Error(), retryAfter)
 		return
 	}
@@ -261,18 +287,27 @@
 			Str("target", pick.Target.ID).Str("zone", pick.Target.Zone).
 			Int("try", len(c.tried)).Str("reason", pick.Reason).Msg("caller: route")
 	}
+	h.options.Metrics.picks.WithLabelValues(pick.Reason).Inc()
 	c.tried = append(c.tried, pick.Target.ID)
+	c.mayRedirect = pick.MayRedirect && h.mayRedirect(ctx, c)
 	c.request.Header.Set(annotator.CallID, h.tryID(c.id))
 	end := h.options.Tracker.Begin(pick.Target, now)
 	c.request.Header.Set(annotator.TargetID, pick.Target.ID)
 	c.request.Body, c.request.ContentLength = c.body.reader()
 	c.setPriorityHeaders(now)
 	c.setTenantHeaders()
+	if c.route.Bulk {
+		c.request.Header.Set(annotator.Bulk, "yes")
+	}
+	observation := h.observe(c, pick.Target)
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
-	h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
+	if !c.mayRedirect || !isSaturated(outcome, err) {
+		h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
+	}
 	if err != nil {
 		end()
 		h.recordFailure(ctx, c, pick.Target, outcome, err)
+		observation.recordError(ctx, c, outcome)
 		return nil, outcome, err
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -281,13 +316,14 @@
 		h.options.Ejector.RecordSuccess(pick.Target.ID)
 	}
 	h.options.Tracker.RecordResponse(pick.Target, c.route.Name, time.Since(now), time.Now())
-	if load, known := annotator.TakeLoad(response.Header); known {
-		h.options.Tracker.SetLoad(pick.Target, load, time.Now())
+	if report, known := annotator.TakeLoadReport(response.Header); known {
+		h.recordReport(c, pick.Target, report)
 	}
 	response.Body = &trackedBody{
 		ReadCloser: response.Body,
 		onClose:    end,
 	}
+	observation.recordResponse(ctx, c, response, time.Since(now))
 	return response, outcome, nil
 }
 
@@ -303,8 +339,19 @@
 	return outcome == fireflymoor.NotRun && errors.Is(err, fireflymoor.ErrBusy) && !errors.Is(err, fireflymoor.ErrRefusedByTarget)
 }
 
-// setPriorityHeaders sets the call's rank and the time within which it should
-// be answered. A tenant's priority replaces that of the route. A nested call gets no such time, as its response is useful for
+// recordReport records the load that a target's node reported.
+func (h *Handler) recordReport(c *call, target fireflymoor.Target, report fireflymoor.LoadReport) {
+	balance := c.view.Configuration().Limits().Balance
+	if balance == fireflymoor.BalanceEven || balance == fireflymoor.BalanceAuto && report.Hold > 0 {
+		h.options.Tracker.RecordReport(target, report, time.Now())
+		return
+	}
+	h.options.Tracker.SetLoad(target, report.Load, time.Now())
+}
+
+// setPriorityHeaders sets the call's rank, the longest wait for a slot and the time
+// within which it should be answered. A tenant's priority replaces that of the route.
+// A nested call gets no such time, as its response is useful for
 // as long as its parent runs.
 func (c *call) setPriorityHeaders(now time.Time) {
 	rank := c.route.Priority
@@ -315,6 +362,10 @@
 		rank = c.identity.tenant.Priority
 	}
 	c.request.Header.Set(annotator.Rank, strconv.Itoa(rank))
+	c.request.Header.Del(annotator.MaxWait)
+	if c.mayRedirect {
+		annotator.SetMilliseconds(c.request.Header, annotator.MaxWait, redirectWait)
+	}
 	if !c.identity.nested && c.route.Objective > 0 {
 		within := max(c.route.Objective-now.Sub(c.start), time.Millisecond)
 		annotator.SetMilliseconds(c.request.Header, annotator.Objective, within)
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -10,6 +10,7 @@
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
+	"github.com/fireflymoor/fireflymoor/internal/sender"
 )
 
 // cancelGrace is added to a route's objective to distinguish a caller that
@@ -20,7 +21,7 @@
 // early, its request could not be read, or the target's node was only busy. A
 // caller that canceled after the objective had good reason to.
 func (h *Handler) recordFailure(ctx context.Context, c *call, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) && time.Since(c.start) < c.route.Objective+cancelGrace {
+	if c.canceledEarly(ctx) {
 		return
 	}
 	if c.body.failed() && ctx.Err() == nil {
@@ -32,12 +33,33 @@
 		h.options.Ejector.RecordDraining(target.ID, time.Now())
 		return
 	case errors.Is(err, fireflymoor.ErrBusy):
-		h.options.Tracker.RecordRefusal(target, time.Now())
+		h.recordRefusal(c, target, err)
 		return
 	}
 	h.options.Ejector.RecordFailure(target.ID, time.Now())
 }
 
+// canceledEarly reports whether the caller canceled the call before its objective had
+// passed.
+func (c *call) canceledEarly(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && time.Since(c.start) < c.route.Objective+cancelGrace
+}
+
+// recordRefusal records the load that a refusal reported, and the target that it
+// named. A target counts as full whatever its refusal reports, and as overloaded if it
+// reports nothing.
+func (h *Handler) recordRefusal(c *call, target fireflymoor.Target, err error) {
+	busy := &fireflymoor.BusyError{}
+	if !errors.As(err, &busy) || busy.Report == nil || c.view.Configuration().Limits().Balance <= fireflymoor.BalanceTwoChoices {
+		h.options.Tracker.RecordRefusal(target, time.Now())
+		return
+	}
+	report := *busy.Report
+	report.Load = max(report.Load, 1)
+	h.options.Tracker.RecordReport(target, report, time.Now())
+	c.neighbor = busy.Neighbor
+}
+
 // respond sends a target's response to the caller.
 func (h *Handler) respond(ctx context.Context, w http.ResponseWriter, c *call, response *http.Response) {
 	if c.grant != nil {
@@ -54,14 +76,25 @@
 		_ = response.Body.Close()
 	}()
 	h.options.Metrics.observe(fireflymoor.Answered, c.start)
+	h.options.Metrics.countTenant(c.identity.tenant.Name, fireflymoor.Answered.String())
 	annotator.RemoveHopByHop(response.Header)
 	response.Header.Del(annotator.CallID)
 	response.Header.Del(annotator.Outcome)
 	h.options.Dialect.WriteResponse(response.Header, c.id)
-	receiver.RespondAtOnce(w, c.request)
+	if !sender.IsSending(response) {
+		c.abandonRequest(w)
+	}
 	receiver.Copy(w, response)
 }
 
+// abandonRequest makes the server respond without the rest of a long request, if it
+// has not been read.
+func (c *call) abandonRequest(w http.ResponseWriter) {
+	if !c.body.isRead() {
+		receiver.AbandonRequest(w, c.request)
+	}
+}
+
 // callerReason returns the reason for a failed call that its caller is told. The
 // error itself may name addresses of targets and sockets, and is only logged.
 func callerReason(ctx context.Context, c *call, outcome fireflymoor.Outcome, err error) string {
@@ -89,6 +122,12 @@
 	h.refuseWithDelay(w, id, status, outcome, reason, reason, 0)
 }
 
+// refuseCall responds to a call that was admitted and gets no response from a target.
+func (h *Handler) refuseCall(w http.ResponseWriter, c *call, status int, outcome fireflymoor.Outcome, reason string) {
+	h.options.Metrics.countTenant(c.identity.tenant.Name, outcome.String())
+	h.refuse(w, c.id, status, outcome, reason)
+}
+
 // refuseWithDelay refuses a call with a reason and asks its caller to retry after
 // retryAfter, if that is not 0. The detail is logged.
 func (h *Handler) refuseWithDelay(w http.ResponseWriter, id string, status int, outcome fireflymoor.Outcome, reason, detail string, retryAfter time.Duration) {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/acceptor"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
 )
@@ -88,6 +89,12 @@
 	Keys bool
 	// KeyWindow is the time for which an idempotency key is stored.
 	KeyWindow time.Duration
+	// Balance is how the node chooses the targets of calls if its configuration does not
+	// say so.
+	Balance fireflymoor.Balance
+	// Pipeline is the maximum number of pipelined requests of a caller's connection in
+	// progress at once.
+	Pipeline int
 	// Grace is the time for which a leaving process continues to serve callers.
 	Grace time.Duration
 	// Shutdown is the maximum time to wait for in-flight calls when the process
@@ -97,6 +104,9 @@
 	Heartbeat time.Duration
 	// ElectionTimeout is the minimum time without a leader before an election.
 	ElectionTimeout time.Duration
+	// LinkRate is the rate of the instance's link, in bits a second, or 0 if it is not
+	// known.
+	LinkRate float64
 	// Connections is the maximum number of connections that each listener accepts, or
 	// 0 to derive it from the process's limit on descriptors.
 	Connections int
@@ -131,7 +141,9 @@
 	maxPort                = 65535
 	maxLinesPerSecond      = 1_000_000
 	maxConnections         = 1_000_000
+	maxPipeline            = 64
 	maxHeadMemory          = 1 << 40
+	maxMegabits            = 10_000_000
 	minDuration            = 10 * time.Millisecond
 	maxDuration            = time.Minute
 	// minKeyWindow is longer than a claim may take.
@@ -158,6 +170,7 @@
 		Lease:           defaultLease,
 		Keys:            true,
 		KeyWindow:       defaultKeyWindow,
+		Pipeline:        1,
 		Grace:           defaultGrace,
 		Shutdown:        defaultShutdown,
 		Heartbeat:       defaultHeartbeat,
@@ -204,7 +217,11 @@
 	case "callers":
 		s.CallerService = section.String("service", "")
 		s.Keys = section.Bool("keys", true)
+		s.Balance = readBalance(section)
+		s.Pipeline = section.Int("pipeline", 1, 1, maxPipeline)
 		s.KeyWindow = section.Duration("key-window", defaultKeyWindow, minKeyWindow, maxKeyWindow)
+	case "link":
+		s.readLink(section)
 	case "clients":
 		s.Connections = section.Int("connections", 0, 1, maxConnections)
 		s.HeadMemory = int64(section.Int("head-memory", acceptor.MinHeadMemory, acceptor.MinHeadMemory, maxHeadMemory))
@@ -215,6 +232,29 @@
 	}
 }
 
+func readBalance(section *parser.Section) fireflymoor.Balance {
+	text := section.String("balance", "")
+	balance, ok := fireflymoor.ParseBalance(text)
+	if text != "" && !ok {
+		section.Fault("balance", fmt.Sprintf("%q is not two-choices, even or auto", text))
+	}
+	return balance
+}
+
+// readLink reads the rate of the link, which is a decimal number of megabits a second.
+func (s *Settings) readLink(section *parser.Section) {
+	text := section.String("megabits", "")
+	if text == "" {
+		return
+	}
+	megabits, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(megabits >= 0) || megabits > maxMegabits {
+		section.Fault("megabits", fmt.Sprintf("%q is not a number between 0 and %d", text, maxMegabits))
+		return
+	}
+	s.LinkRate = megabits * 1e6
+}
+
 func (s *Settings) readProcess(section *parser.Section) {
 	s.Name = section.Required("name")
 	s.Role = section.Required("role")
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -19,20 +19,24 @@
 	"github.com/fireflymoor/fireflymoor/internal/applier"
 	"github.com/fireflymoor/fireflymoor/internal/balancer"
 	"github.com/fireflymoor/fireflymoor/internal/caller"
+	"github.com/fireflymoor/fireflymoor/internal/collector"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
 	"github.com/fireflymoor/fireflymoor/internal/forwarder"
 	"github.com/fireflymoor/fireflymoor/internal/linker"
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/packer"
+	"github.com/fireflymoor/fireflymoor/internal/pipeliner"
 	"github.com/fireflymoor/fireflymoor/internal/platform"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
 	"github.com/fireflymoor/fireflymoor/internal/verifier"
+	"github.com/fireflymoor/fireflymoor/internal/vetter"
 	"github.com/fireflymoor/fireflymoor/internal/waiter"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
 	"github.com/fireflymoor/fireflymoor/pkg/renderer"
@@ -55,10 +59,11 @@
 	confirmRetryDelay     = 50 * time.Millisecond
 	// minQueryInterval is the minimum time between two queries for the newest version.
 	// It is queryIntervalPerMember for each member if that is more, so that all nodes
-	// together send at most 200 queries a second while clients use invalid keys
-	// everywhere. Each control replica admits as many.
+	// together send at most 330 queries a second while clients use invalid keys
+	// everywhere. Each control replica admits 200. With 100 members every call with an
+	// invalid key gets its result within the time that it may wait.
 	minQueryInterval       = 20 * time.Millisecond
-	queryIntervalPerMember = 5 * time.Millisecond
+	queryIntervalPerMember = 3 * time.Millisecond
 	// queryTryTimeout is the time after which another replica is queried.
 	queryTryTimeout = 250 * time.Millisecond
 )
@@ -86,12 +91,24 @@
 	throttle     applier.Throttle
 	applyPending bool
 	leaving      atomic.Bool
+	// evidence sums up this node's calls to services under roll-out. If the node is
+	// its zone's reporter, relay sums up the calls of the zone's nodes, and
+	// relayFilter, which is accessed only on the sequencer, drops repeated messages.
+	evidence    *collector.Collector
+	relay       *collector.Collector
+	relayFilter *collector.Filter
+	activity    activity
+	// vetter is accessed only on the sequencer.
+	vetter *vetter.Vetter
+	// leaderIndex is the index of the replica that last took evidence.
+	leaderIndex atomic.Int64
 
 	// callers serves local callers, calls serves the calls that other nodes
 	// forward.
-	callers  *http.Server
-	calls    *http.Server
-	platform *http.Server
+	callers   *http.Server
+	calls     *http.Server
+	platform  *http.Server
+	pipeliner *pipeliner.Pipeliner
 	// ready and announcements are served only through an adapter.
 	ready         *http.Server
 	announcements *http.Server
@@ -113,6 +130,11 @@
 		tracker: tracker.New(settings.Name, settings.Zone),
 		packer:  packer.New(settings.Name, m.dialect().CommonHeaders()...),
 		claims:  newClaims(settings, m.client),
+
+		evidence:    collector.New(settings.Name, m.boot),
+		relay:       collector.New(settings.Name, m.boot),
+		relayFilter: collector.NewFilter(),
+		vetter:      vetter.New(time.Now()),
 	}
 	n.limits = newLimits(m, n.rateLimitedLog())
 	n.remote = forwarder.NewRemote(m.dialer, n.packer, sender.WithBudget(m.heads))
@@ -134,30 +156,36 @@
 
 // initServers creates the HTTP servers of the node.
 func (n *node) initServers() {
-	local := target.NewServer(n.targets, n.dialect(), n.dialer, sender.WithBudget(n.heads))
+	local := target.NewServer(n.targets, n.dialect(), n.dialer, shaper.New(n.settings.LinkRate, n.registry), sender.WithBudget(n.heads))
+	local.UseMetrics(target.NewMetrics(n.registry))
+	local.UseNeighbors(n.freeNeighbor)
 	var claims caller.Claims
 	if n.settings.Keys {
 		claims = n.claims.claimer
 	}
 	handler := caller.New(caller.Options{
-		Node:        n.settings.Name,
-		Origin:      n.settings.CallerService,
-		Dialect:     n.dialect(),
-		IsRunning:   local.IsRunning,
-		Newest:      n.verifier.Newest,
-		Viewer:      n,
-		Balancer:    balancer.NewTwoChoices(),
-		Forwarder:   forwarder.New(n.settings.Name, local, n.remote),
-		Tracker:     n.tracker,
-		Ejector:     ejector.New(),
-		Budget:      retrier.NewBudget(),
-		RefusalRate: retrier.NewRefusalRate(),
-		Claims:      claims,
-		Quota:       n.limits,
-		Metrics:     caller.NewMetrics(n.registry),
-		Log:         n.rateLimitedLog(),
-		RouteLog:    n.rateLimitedLog(),
-		Decisions:   n.settings.Decisions,
+		Node:         n.settings.Name,
+		Origin:       n.settings.CallerService,
+		Dialect:      n.dialect(),
+		IsRunning:    local.IsRunning,
+		Newest:       n.verifier.Newest,
+		Viewer:       n,
+		Balancer:     balancer.NewTwoChoices(),
+		EvenBalancer: balancer.NewEven(),
+		LocalLoad:    local.Load,
+		Forwarder:    forwarder.New(n.settings.Name, local, n.remote),
+		Tracker:      n.tracker,
+		Ejector:      ejector.New(),
+		Budget:       retrier.NewBudget(),
+		RefusalRate:  retrier.NewRefusalRate(),
+		Claims:       claims,
+		Quota:        n.limits,
+		Evidence:     n.evidence,
+		IsCurrent:    func() bool { return n.activity.isCurrent(time.Now()) },
+		Metrics:      caller.NewMetrics(n.registry),
+		Log:          n.rateLimitedLog(),
+		RouteLog:     n.rateLimitedLog(),
+		Decisions:    n.settings.Decisions,
 	})
 	n.callers = newServer(n.closeWhenLeaving(handler))
 	n.callers.Protocols = &http.Protocols{}
@@ -199,6 +227,20 @@
 	return *n.view.Load()
 }
 
+// freeNeighbor returns the id of a target of a service that this node knows to have a
+// free slot, at another node of the zone, or an empty string.
+func (n *node) freeNeighbor(service string) string {
+	view := n.View()
+	var neighbors []fireflymoor.Target
+	for _, t := range view.Targets(service) {
+		isNeighbor := t.Zone == n.settings.Zone && t.Node != n.settings.Name
+		if isNeighbor && t.State == fireflymoor.Ready && t.Team == view.Configuration().Team() {
+			neighbors = append(neighbors, t)
+		}
+	}
+	return n.tracker.FreeTarget(neighbors, time.Now())
+}
+
 // unreadyReason returns why the node should get no callers, or "" if it is
 // ready.
 func (n *node) unreadyReason() string {
@@ -221,6 +263,14 @@
 
 // start starts the parts specific to a node.
 func (n *node) start(workCtx context.Context, group *sync.WaitGroup) {
+	n.pipeliner = pipeliner.New(pipeliner.Options{
+		Depth:    n.settings.Pipeline,
+		Budget:   n.heads,
+		Leaving:  n.leaving.Load,
+		Registry: n.registry,
+	})
+	n.listeners[n.settings.Callers] = n.pipeliner.Wrap(n.listeners[n.settings.Callers])
+	n.pipeliner.Attach(n.callers)
 	n.serve(group, n.callers, "callers", n.settings.Callers)
 	n.serve(group, n.calls, "calls", n.settings.Calls)
 	n.serve(group, n.platform, "platform", n.settings.Platform)
@@ -231,6 +281,10 @@
 	group.Go(func() { n.confirm(workCtx) })
 	group.Go(func() { n.sequencer.Every(workCtx, reportInterval, func() { n.sendReports(workCtx) }) })
 	group.Go(func() { n.expireLeases(workCtx) })
+	group.Go(func() { n.sequencer.Every(workCtx, evidenceInterval, func() { n.sendEvidence(workCtx) }) })
+	group.Go(func() { n.sequencer.Every(workCtx, relayInterval, func() { n.sendRelayed(workCtx) }) })
+	group.Go(func() { n.vet(workCtx) })
+	group.Go(func() { n.activity.watch(workCtx) })
 	group.Go(func() { n.limits.run(workCtx) })
 	if n.settings.Keys {
 		group.Go(func() { n.sequencer.Every(workCtx, ringInterval, n.pruneRing) })
@@ -250,7 +304,10 @@
 	time.Sleep(n.settings.Grace)
 	n.targets.DrainAll()
 	time.Sleep(drainNoticeDelay)
-	n.shutdown(n.callers, n.calls, n.platform, n.ready, n.announcements)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown)
+	defer cancel()
+	n.pipeliner.Drain(ctx)
+	n.shutdown(ctx, n.callers, n.calls, n.platform, n.ready, n.announcements)
 }
 
 func (n *node) mux() *linker.Mux {
@@ -359,7 +416,7 @@
 		}
 		return
 	}
-	current := n.applier.Current()
+	current := n.applier.Current().WithDefaultBalance(n.settings.Balance)
 	n.coordinator.SetHeldVersion(current.Number())
 	view := n.View().WithConfiguration(current)
 	n.view.Store(&view)
@@ -389,6 +446,7 @@
 	n.lastRebuild = time.Now()
 	n.members.Store(int64(n.coordinator.Announcer().Len()))
 	targets := n.coordinator.Announcer().Targets()
+	n.vetter.Vet(targets, n.lastRebuild)
 	view := n.View().WithTargets(targets)
 	n.view.Store(&view)
 	n.tracker.Retain(targets)
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -15,6 +15,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/limiter"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
 )
 
 const (
@@ -23,6 +24,8 @@
 	// target sends a shorter timeout. Targets keep idle connections for 10 s or
 	// more.
 	idleTimeout = 8 * time.Second
+	// defaultWeight is the weight of a tenant that is not in the configuration.
+	defaultWeight = 1
 )
 
 // A Server forwards calls to the targets of a Registry. It alone allocates their
@@ -31,6 +34,10 @@
 	registry  *Registry
 	dialect   fireflymoor.Dialect
 	transport *sender.Transport
+	shaper    *shaper.Shaper
+	metrics   *Metrics
+	// findNeighbor returns the id of a target with a free slot, or is nil.
+	findNeighbor func(service string) string
 
 	lock sync.Mutex
 	// running holds the calls in progress at the targets by the ids that the
@@ -50,17 +57,24 @@
 var errKeyWithdrawn = errors.New("the key of the call was withdrawn")
 
 // NewServer returns a new Server that uses dialect for the headers of calls to the
-// targets. The options apply to the transport to the targets.
-func NewServer(registry *Registry, dialect fireflymoor.Dialect, dialer *dialer.Dialer, options ...sender.Option) *Server {
+// targets. Bulk responses share the link by shaper. The options apply to the transport
+// to the targets.
+func NewServer(registry *Registry, dialect fireflymoor.Dialect, dialer *dialer.Dialer, shaper *shaper.Shaper, options ...sender.Option) *Server {
 	options = append([]sender.Option{sender.WithResponseMatcher(dialect.SameCall)}, options...)
 	return &Server{
 		registry:  registry,
 		dialect:   dialect,
 		transport: sender.NewTransport(dialer.TrafficDialFunc(dialTimeout), idleTimeout, options...),
+		shaper:    shaper,
 		running:   map[string]*runningCalls{},
 	}
 }
 
+// UseMetrics makes the server record metrics. It must be called before Forward.
+func (s *Server) UseMetrics(metrics *Metrics) {
+	s.metrics = metrics
+}
+
 // IsRunning reports whether a target of this instance is running the call with
 // an id, and returns the name of the tenant on whose behalf it runs, or "".
 func (s *Server) IsRunning(id string) (tenant string, running bool) {
@@ -106,17 +120,28 @@
 
 // Forward implements fireflymoor.Forwarder for the targets of this instance.
 func (s *Server) Forward(ctx context.Context, target fireflymoor.Target, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
+	if in.Header.Get(annotator.Bulk) != "" {
+		return s.forwardBulk(ctx, target, in)
+	}
+	return s.forward(ctx, target, in)
+}
+
+// forward acquires a slot of the target for a call and sends the call to it.
+func (s *Server) forward(ctx context.Context, target fireflymoor.Target, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
 	t, err := s.registry.find(target.ID, time.Now())
 	if err != nil {
 		return nil, fireflymoor.NotRun, errors.Wrapf(err, "target %s: find", target.ID)
 	}
-	ticket := readTicket(in.Header)
-	keyID := in.Header.Get(annotator.KeyID)
 	configuration := s.registry.current()
+	ticket := readTicket(in.Header, configuration)
+	keyID := in.Header.Get(annotator.KeyID)
+	arrived := time.Now()
 	if err := t.limiter.Acquire(ctx, ticket); err != nil {
+		s.addReport(t, err)
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(err, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
 	}
 	started := time.Now()
+	s.metrics.observeWait(started.Sub(arrived))
 	if !s.registry.valid(t, started) {
 		t.limiter.Release(ticket, 0)
 		return nil, fireflymoor.NotRun, errors.Wrapf(ErrUnknown, "target %s: take a slot", target.ID)
@@ -155,14 +180,22 @@
 }
 
 // readTicket reads the ticket of a call from the headers that the forwarding node
-// set.
-func readTicket(header http.Header) limiter.Ticket {
+// set. A tenant that the configuration lacks has the default weight.
+func readTicket(header http.Header, configuration fireflymoor.Configuration) limiter.Ticket {
 	ticket := limiter.Ticket{
 		Objective: annotator.Milliseconds(header, annotator.Objective),
+		Bulk:      header.Get(annotator.Bulk) != "",
+		MaxWait:   annotator.Milliseconds(header, annotator.MaxWait),
 	}
 	if rank, err := strconv.Atoi(header.Get(annotator.Rank)); err == nil {
 		ticket.Rank = rank
 	}
+	if ticket.Tenant = header.Get(annotator.Tenant); ticket.Tenant != "" {
+		ticket.Weight = defaultWeight
+		if tenant, ok := configuration.Tenant(ticket.Tenant); ok {
+			ticket.Weight = tenant.Weight
+		}
+	}
 	return ticket
 }
 
@@ -183,8 +216,9 @@
 		return nil, outcome, err
 	}
 	verdict := s.dialect.ReadResponse(out.Header, response.Header, response.StatusCode)
+	t.own.record(verdict.Load, time.Now())
 	if verdict.Err == nil && !verdict.NotRun {
-		annotator.SetLoad(response.Header, t.limiter.Load())
+		s.setLoad(t, response.Header)
 		return response, fireflymoor.Answered, nil
 	}
 	_ = response.Body.Close()
@@ -195,6 +229,16 @@
 	return nil, fireflymoor.NotRun, errors.Mark(err, fireflymoor.ErrRefusedByTarget)
 }
 
+// setLoad writes the target's load to the header of a response. Nodes that balance
+// evenly get the longer form.
+func (s *Server) setLoad(t *localTarget, header http.Header) {
+	if t.isEven(s.registry.balance()) {
+		annotator.SetLoadReport(header, t.report(1, time.Now()))
+		return
+	}
+	annotator.SetLoad(header, t.limiter.Load())
+}
+
 // remaining returns the time until the deadline of ctx, or 0 if it has none.
 func remaining(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -38,7 +38,9 @@
 	zone    string
 	entries sync.Map
 	// zones maps a zoneKey to its *zoneLoad.
-	zones     sync.Map
+	zones sync.Map
+	// reported has the names of the services of which a report was recorded.
+	reported  sync.Map
 	baselines *baselines
 }
 
@@ -62,6 +64,7 @@
 	// progressAt is when the target last answered or refused a call, or when a
 	// call began while no other was in flight, whichever is later.
 	progressAt atomic.Int64
+	report     report
 }
 
 // New returns a new Tracker for the proxy of a node in an availability zone.
@@ -104,8 +107,10 @@
 	if e.inFlight.Add(1) == 1 {
 		e.progressAt.Store(now.UnixNano())
 	}
+	endPick := e.report.pick()
 	return func() {
 		e.inFlight.Add(-1)
+		endPick()
 	}
 }
 
@@ -187,7 +192,10 @@
 		InFlight:     int(e.inFlight.Load()),
 		Load:         load,
 		ZoneLoad:     e.zone.current(now),
+		ZoneFull:     e.zone.full.load(),
 		Slowness:     e.currentSlowness(now),
+		Utilization:  e.utilization(target.Slots, now),
+		RelativeHold: e.relativeHold(now),
 		Stalled:      e.stalled(now),
 		Weight:       weight,
 		SameZone:     target.Zone == t.zone,
