internal/runner: read the overlay's listener before the others are replaced

The goroutine that serves the overlay read the map of listeners while the node replaced the callers' listener in it. The race detector reported it at the start of each node in TestTenantLimits, six of six; none after. Without the detector the runtime may end the process for it.

The test also checks that log lines of limits are written, and few.

--- a/integration/tenant_limit_test.go
+++ b/integration/tenant_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -101,4 +102,10 @@
 	m.is.True(len(loud.ran) > 16*rate*6/10) // the limit is used
 	m.is.Equal(loud.wrong, 0)
 	m.is.True(quiet.refused <= quiet.calls/100)
+	lines := 0
+	for _, n := range m.nodes {
+		lines += strings.Count(n.Log(), "limits: the tenant is over its limit")
+	}
+	t.Logf("%d log lines of tenants over their limits", lines)
+	m.is.True(lines > 0 && lines < 100)
 }
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -257,8 +257,9 @@
 // serveOverlay serves the requests of other processes until ctx ends, within the
 // limits on clients.
 func (m *member) serveOverlay(ctx context.Context, group *sync.WaitGroup, mux *linker.Mux) {
+	listener := m.listeners[m.settings.Overlay]
 	group.Go(func() {
-		err := linker.Serve(ctx, m.listeners[m.settings.Overlay], linker.ServerOptions{
+		err := linker.Serve(ctx, listener, linker.ServerOptions{
 			Mux:         mux,
 			Counter:     m.counter,
 			OnPanic:     m.recordPanic,
