internal/rationer: limit two tenants whose names have one id together

The second would have had no channel for its reports, and a call of it would have failed on a nil pointer. With 40 bits that happens once in some 5,000 configurations with 20,000 tenants.

--- a/internal/rationer/aggregator.go
+++ b/internal/rationer/aggregator.go
@@ -131,7 +131,9 @@
 	defer a.lock.Unlock()
 	a.limits = map[uint64]limit{}
 	for _, l := range limitsOf(tenants) {
-		a.limits[l.id] = l
+		if _, taken := a.limits[l.id]; !taken {
+			a.limits[l.id] = l
+		}
 	}
 	for _, s := range a.shards {
 		for id, l := range s.ledgers {
--- a/internal/rationer/node.go
+++ b/internal/rationer/node.go
@@ -72,6 +72,10 @@
 	byName := map[string]*meter{}
 	byID := map[uint64]*meter{}
 	for _, l := range limitsOf(tenants) {
+		if other := byID[l.id]; other != nil {
+			byName[l.name] = other // two names with one id are limited together
+			continue
+		}
 		m := n.byName[l.name]
 		if m == nil {
 			m = &meter{
