--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -26,7 +26,9 @@
 
 var (
 	errUnknownKey = errors.New("the call has no valid key")
-	errWithdrawn  = errors.New("the key of the call was withdrawn")
+	// errUnknownParent is the reason of a call without a key whose parent is not running.
+	errUnknownParent = errors.New("the call that this one is made for is not running")
+	errWithdrawn     = errors.New("the key of the call was withdrawn")
 )
 
 // A Quota limits the rates of tenants' calls.
@@ -34,6 +36,8 @@
 	// Admit reports whether a call of a tenant may run, and counts it if so. If not,
 	// it returns the time after which the tenant may call again.
 	Admit(tenant fireflymoor.Tenant, now time.Time) (admitted bool, retryAfter time.Duration)
+	// Return gives back an admitted call that has not run.
+	Return(tenant fireflymoor.Tenant)
 }
 
 // identity is on whose behalf a call is made.
@@ -164,10 +168,15 @@
 		tenant, a.identity.nested = h.options.IsRunning(metadata.Parent)
 		a.identity.tenant = namedTenant(configuration, tenant)
 	}
-	if tenants && !a.identity.nested && !route.AuthExempt {
-		return refusal(http.StatusUnauthorized, errUnknownKey.Error())
+	switch {
+	case !tenants || a.identity.nested || route.AuthExempt:
+		return nil
+	case metadata.Parent != "":
+		// The target still runs the parent after its node has restarted or given the
+		// parent up. The call may not run, but its target is no client without a key.
+		return refusal(http.StatusServiceUnavailable, errUnknownParent.Error())
 	}
-	return nil
+	return refusal(http.StatusUnauthorized, errUnknownKey.Error())
 }
 
 // namedTenant returns the tenant with a name, also if the configuration no longer has
@@ -195,7 +204,7 @@
 // checkQuota returns a refusal if the call exceeds the rate of its tenant, or nil.
 // Nested calls are part of a call that was admitted.
 func (h *Handler) checkQuota(i identity, now time.Time) *fireflymoor.Refusal {
-	if h.options.Quota == nil || i.nested || i.tenant.Name == "" {
+	if !h.isCounted(i) {
 		return nil
 	}
 	admitted, retryAfter := h.options.Quota.Admit(i.tenant, now)
@@ -207,6 +216,20 @@
 	return r
 }
 
+// isCounted reports whether a call counts towards the rate of its tenant.
+func (h *Handler) isCounted(i identity) bool {
+	return h.options.Quota != nil && !i.nested && i.tenant.Name != ""
+}
+
+// returnQuota gives back a call that has not run. The tenant is the one it was admitted
+// for, also if its key belongs to another one by now.
+func (h *Handler) returnQuota(c *call) {
+	if c.counted {
+		h.options.Quota.Return(c.countedFor)
+		c.counted = false
+	}
+}
+
 // recheckKey looks the call's key up again if another version is in force, such as
 // after a wait. It reports false if the key was withdrawn.
 func (h *Handler) recheckKey(c *call) bool {
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -10,6 +10,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -57,7 +60,7 @@
 	return b.text.String()
 }
 
-func newFixture(t *testing.T, depth int, handler http.HandlerFunc) *fixture {
+func newFixture(t *testing.T, depth int, handler http.HandlerFunc, options ...func(*http.Server)) *fixture {
 	t.Helper()
 	f := &fixture{
 		is: is.New(t),
@@ -79,8 +82,14 @@
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	f.is.NoErr(err)
 	f.server = &http.Server{
-		Handler:  handler,
-		ErrorLog: log.New(&f.log, "", 0),
+		Handler:   handler,
+		ErrorLog:  log.New(&f.log, "", 0),
+		Protocols: &http.Protocols{},
+	}
+	f.server.Protocols.SetHTTP1(true)
+	f.server.Protocols.SetUnencryptedHTTP2(true)
+	for _, option := range options {
+		option(f.server)
 	}
 	listener := limited.Wrap(f.served.Wrap(raw), "callers")
 	f.served.Attach(f.server)
@@ -489,3 +498,229 @@
 	f.is.Equal(body, "/1")
 	f.is.True(strings.Contains(f.log.String(), "a fault"))
 }
+
+// TestBegunCallIsNotRefused guards against calls that are reported as not run although
+// they began ahead of their turn, when the memory for header sections runs out.
+func TestBegunCallIsNotRefused(t *testing.T) {
+	var f *fixture
+	var running atomic.Int64
+	f = newFixture(t, 2, func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/1" {
+			running.Add(1)
+		}
+		if request.URL.Path == "/0" {
+			f.waitFor(func() bool { return running.Load() == 1 })
+			time.Sleep(20 * time.Millisecond)
+			rest := acceptor.MinHeadMemory - f.budget.Used()
+			f.is.True(f.budget.NewCharge("b").Resize(rest / 2))
+			for f.budget.NewCharge("c").Resize(1 << 10) {
+			}
+		}
+		echo(w, request)
+	})
+	f.pipeline()
+	f.send(get("/0") + "GET /1 HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 4<<10) + "\r\n\r\n")
+	for i := range 2 {
+		status, body := f.read()
+		f.is.Equal(status, http.StatusOK)
+		f.is.Equal(body, fmt.Sprintf("/%d", i))
+	}
+}
+
+// TestShutdownAwaitsBegunCalls guards against calls that began ahead of their turn and
+// are lost because the server shuts down behind the response before theirs.
+func TestShutdownAwaitsBegunCalls(t *testing.T) {
+	var f *fixture
+	var running atomic.Int64
+	f = newFixture(t, 3, func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path != "/warm" {
+			running.Add(1)
+			time.Sleep(20 * time.Millisecond)
+		}
+		echo(w, request)
+	})
+	f.pipeline()
+	f.send(get("/0") + get("/1") + get("/2"))
+	f.waitFor(func() bool { return running.Load() == 3 })
+	f.leaving.Store(true)
+	go func() {
+		f.served.Drain(t.Context())
+		_ = f.server.Shutdown(t.Context())
+	}()
+	for i := range 3 {
+		_, body := f.read()
+		f.is.Equal(body, fmt.Sprintf("/%d", i))
+	}
+}
+
+// oddRequests are requests, with a place for a number, that a server may read otherwise
+// than a reader ahead of it.
+var oddRequests = []string{
+	"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nConnection: keep-alive\r\nContent-Length: 0\r\n\r\n",
+	"GET /long/%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"GET /empty/%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"HEAD /%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"HEAD /long/%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"GET /%d HTTP/1.1\nHost: a\n\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n \r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 30<<10) + "\r\n\r\n",
+	"GET http://b/%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"GET /%d HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nUpgrade: b\r\nConnection: upgrade\r\n\r\n",
+	"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+	"POST /%d HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	"DELETE /%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"OPTIONS * HTTP/1.1\r\nHost: a\r\nX: %d\r\n\r\n",
+}
+
+// lastRequests are requests with which the server ends the connection.
+var lastRequests = []string{
+	"GET /%d HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+	"GET /%d HTTP/1.0\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\n\r\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nX\r\n\r\n",
+	"\r\nGET /%d HTTP/1.1\r\nHost: a\r\n\r\n",
+	"GET /%d HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+}
+
+// TestSameResponses guards against connections on which reading ahead changes what a
+// caller gets or what runs: all is as without it, byte by byte.
+func TestSameResponses(t *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		text := get("/a") + get("/b")
+		for i := range 12 {
+			// The first ones are the most frequent, as nothing is read ahead behind others.
+			odd := oddRequests[random.IntN(1+random.IntN(len(oddRequests)))]
+			text += fmt.Sprintf(odd, i)
+		}
+		text += fmt.Sprintf(lastRequests[random.IntN(len(lastRequests))], 12)
+		is := is.New(t)
+		want, wantRuns := exchange(t, 1, seed, text)
+		got, gotRuns := exchange(t, 1+random.IntN(5), seed, text)
+		if want != got {
+			same := 0
+			for same < min(len(got), len(want)) && got[same] == want[same] {
+				same++
+			}
+			t.Fatalf("seed %d: after %d bytes: got %.300q, want %.300q", seed, same, got[same:], want[same:])
+		}
+		is.Equal(wantRuns, gotRuns)
+	}
+}
+
+// exchange sends text to a server in random segments, and returns the responses and the
+// sorted calls that ran.
+func exchange(t *testing.T, depth int, seed uint64, text string) (string, string) {
+	var lock sync.Mutex
+	var runs []string
+	random := rand.New(rand.NewPCG(seed, uint64(depth)))
+	f := newFixture(t, depth, func(w http.ResponseWriter, request *http.Request) {
+		lock.Lock()
+		runs = append(runs, request.Method+request.Host+request.URL.Path)
+		pause := time.Duration(random.IntN(500)) * time.Microsecond
+		lock.Unlock()
+		body, _ := io.ReadAll(request.Body)
+		time.Sleep(pause)
+		w.Header()["Date"] = nil
+		if strings.HasPrefix(request.URL.Path, "/empty/") {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		text := request.Host + request.URL.Path + string(body) + request.Header.Get("X")
+		if strings.HasPrefix(request.URL.Path, "/long/") {
+			text = strings.Repeat(text, 10<<10)
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(text))) // chunks may differ
+		_, _ = io.WriteString(w, text)
+	})
+	segments := rand.New(rand.NewPCG(seed, uint64(depth)))
+	go func() {
+		for rest := text; rest != ""; {
+			n := min(1+segments.IntN(2000), len(rest))
+			if _, err := io.WriteString(f.conn, rest[:n]); err != nil {
+				return // the server has closed the connection behind its last response
+			}
+			rest = rest[n:]
+			time.Sleep(time.Duration(segments.IntN(100)) * time.Microsecond)
+		}
+	}()
+	responses, _ := io.ReadAll(f.reader) // a reset may follow the last response
+	f.is.NoErr(f.conn.Close())
+	f.is.NoErr(f.server.Shutdown(t.Context()))
+	slices.Sort(runs)
+	// The server adds a date to its own responses.
+	responses = regexp.MustCompile(`Date: .*\r\n`).ReplaceAll(responses, nil)
+	return string(responses), strings.Join(runs, " ")
+}
+
+// TestCallerDoesNotRead guards against what remains of calls whose responses could not
+// be sent: bytes that stay counted, charges and goroutines.
+func TestCallerDoesNotRead(t *testing.T) {
+	var running atomic.Int64
+	f := newFixture(t, 4, func(w http.ResponseWriter, request *http.Request) {
+		running.Add(1)
+		defer running.Add(-1)
+		n := 8
+		if request.URL.Path == "/0" {
+			n = 500 // more than the buffers of a connection hold
+		}
+		for range n {
+			_, _ = io.WriteString(w, strings.Repeat("x", maxHeldBytes/4))
+		}
+	})
+	f.send(get("/warm") + get("/warm") + get("/0") + get("/1") + get("/2") + get("/3"))
+	f.waitFor(func() bool { return f.served.held.Load() == 3*maxHeldBytes && f.served.pending.Load() == 3 })
+	f.is.NoErr(f.conn.Close())
+	f.waitFor(func() bool {
+		return running.Load() == 0 && f.served.held.Load() == 0 && f.served.pending.Load() == 0 && f.budget.Used() == 0
+	})
+}
+
+// TestTimeouts guards against connections that the server's timeouts do not end, because
+// they are being read ahead or a part of a header section was read ahead.
+func TestTimeouts(t *testing.T) {
+	for _, rest := range []string{"", "GE", "GET /2 HTTP/1.1\r\n"} {
+		f := newFixture(t, 4, func(w http.ResponseWriter, request *http.Request) {
+			time.Sleep(5 * time.Millisecond)
+			echo(w, request)
+		}, func(server *http.Server) {
+			server.IdleTimeout = 200 * time.Millisecond
+			server.ReadHeaderTimeout = 200 * time.Millisecond
+		})
+		f.pipeline()
+		f.send(get("/0") + get("/1") + rest)
+		f.read()
+		f.read()
+		_, err := io.ReadAll(f.reader)
+		f.is.NoErr(err)
+	}
+}
+
+// TestHTTP2 guards against HTTP/2 connections that are taken for HTTP/1.1.
+func TestHTTP2(t *testing.T) {
+	f := newFixture(t, 4, func(w http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		_, _ = io.WriteString(w, request.Proto+string(body))
+	})
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		Protocols: protocols,
+	}
+	defer transport.CloseIdleConnections()
+	for range 3 {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.conn.RemoteAddr().String(), strings.NewReader("body"))
+		f.is.NoErr(err)
+		response, err := transport.RoundTrip(request)
+		f.is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		f.is.NoErr(err)
+		f.is.NoErr(response.Body.Close())
+		f.is.Equal(string(body), "HTTP/2.0body")
+	}
+}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -84,6 +84,7 @@
 	// members is the number of members of the overlay.
 	members      atomic.Int64
 	claims       *claims
+	limits       *limits
 	view         atomic.Pointer[fireflymoor.View]
 	viewPending  bool
 	lastRebuild  time.Time
@@ -104,9 +105,10 @@
 
 	// callers serves local callers, calls serves the calls that other nodes
 	// forward.
-	callers  *http.Server
-	calls    *http.Server
-	platform *http.Server
+	callers   *http.Server
+	calls     *http.Server
+	platform  *http.Server
+	pipeliner *pipeliner.Pipeliner
 	// ready and announcements are served only through an adapter.
 	ready         *http.Server
 	announcements *http.Server
@@ -134,6 +136,7 @@
 		relayFilter: collector.NewFilter(),
 		vetter:      vetter.New(time.Now()),
 	}
+	n.limits = newLimits(m, n.rateLimitedLog())
 	n.remote = forwarder.NewRemote(m.dialer, n.packer, sender.WithBudget(m.heads))
 	n.verifier = verifier.New(n.newestVersion, func() time.Duration {
 		return max(time.Duration(n.members.Load())*queryIntervalPerMember, minQueryInterval)
@@ -176,6 +179,7 @@
 		Budget:       retrier.NewBudget(),
 		RefusalRate:  retrier.NewRefusalRate(),
 		Claims:       claims,
+		Quota:        n.limits,
 		Evidence:     n.evidence,
 		IsCurrent:    func() bool { return n.activity.isCurrent(time.Now()) },
 		Metrics:      caller.NewMetrics(n.registry),
@@ -259,14 +263,14 @@
 
 // start starts the parts specific to a node.
 func (n *node) start(workCtx context.Context, group *sync.WaitGroup) {
-	pipelined := pipeliner.New(pipeliner.Options{
+	n.pipeliner = pipeliner.New(pipeliner.Options{
 		Depth:    n.settings.Pipeline,
 		Budget:   n.heads,
 		Leaving:  n.leaving.Load,
 		Registry: n.registry,
 	})
-	n.listeners[n.settings.Callers] = pipelined.Wrap(n.listeners[n.settings.Callers])
-	pipelined.Attach(n.callers)
+	n.listeners[n.settings.Callers] = n.pipeliner.Wrap(n.listeners[n.settings.Callers])
+	n.pipeliner.Attach(n.callers)
 	n.serve(group, n.callers, "callers", n.settings.Callers)
 	n.serve(group, n.calls, "calls", n.settings.Calls)
 	n.serve(group, n.platform, "platform", n.settings.Platform)
@@ -281,6 +285,7 @@
 	group.Go(func() { n.sequencer.Every(workCtx, relayInterval, func() { n.sendRelayed(workCtx) }) })
 	group.Go(func() { n.vet(workCtx) })
 	group.Go(func() { n.activity.watch(workCtx) })
+	group.Go(func() { n.limits.run(workCtx) })
 	if n.settings.Keys {
 		group.Go(func() { n.sequencer.Every(workCtx, ringInterval, n.pruneRing) })
 		group.Go(func() { n.claims.restore(workCtx, n.log) })
@@ -299,7 +304,10 @@
 	time.Sleep(n.settings.Grace)
 	n.targets.DrainAll()
 	time.Sleep(drainNoticeDelay)
-	n.shutdown(n.callers, n.calls, n.platform, n.ready, n.announcements)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown)
+	defer cancel()
+	n.pipeliner.Drain(ctx)
+	n.shutdown(ctx, n.callers, n.calls, n.platform, n.ready, n.announcements)
 }
 
 func (n *node) mux() *linker.Mux {
@@ -333,6 +341,22 @@
 	return &messenger.Empty{}, nil
 }
 
+// ReportTenants implements messenger.DRPCOverlayServer.
+func (ns *nodeServer) ReportTenants(_ context.Context, report *messenger.TenantReport) (*messenger.TenantGrants, error) {
+	return ns.node.limits.aggregator.Receive(report, time.Now()), nil
+}
+
+// PushTenantGrants implements messenger.DRPCOverlayServer.
+func (ns *nodeServer) PushTenantGrants(_ context.Context, grants *messenger.TenantGrants) (*messenger.Empty, error) {
+	ns.node.limits.node.Receive(grants, time.Now())
+	return &messenger.Empty{}, nil
+}
+
+// ExchangeTenants implements messenger.DRPCOverlayServer.
+func (ns *nodeServer) ExchangeTenants(_ context.Context, sums *messenger.TenantSums) (*messenger.TenantSums, error) {
+	return ns.node.limits.aggregator.Exchange(sums, time.Now()), nil
+}
+
 // targetsChanged announces the instance's targets to the overlay.
 func (n *node) targetsChanged(targets []*messenger.Target, departures []*messenger.Departure) {
 	n.sequencer.Post(func() {
@@ -392,11 +416,12 @@
 		}
 		return
 	}
-	current := n.applier.Current()
+	current := n.applier.Current().WithDefaultBalance(n.settings.Balance)
 	n.coordinator.SetHeldVersion(current.Number())
 	view := n.View().WithConfiguration(current)
 	n.view.Store(&view)
 	n.targets.Configure(current)
+	n.limits.configure(current)
 	n.log.Info().Uint64("version", current.Number()).Msg("config: in force")
 }
 
@@ -426,6 +451,7 @@
 	n.view.Store(&view)
 	n.tracker.Retain(targets)
 	n.remote.Retain(targets)
+	n.limits.setMembers(n.coordinator.Announcer().Nodes(time.Now(), 0))
 	n.rebuildRing()
 }
 
