internal/target: do not read announcements without the registry's lock

A call read the address and the id of its target from the announcement, which the next one replaces at the same time. Both are now kept apart, as they do not change. The race detector reported it in TestAnnounceDuringCall before, and in nodes built with it.

--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -54,6 +54,9 @@
 
 // localTarget is an announced target of this instance.
 type localTarget struct {
+	// id and address do not change. Calls read them without the registry's lock, which
+	// the announcement requires.
+	id, address string
 	announcement Announcement
 	limiter      *limiter.Limiter
 	draining     bool
@@ -192,6 +195,8 @@
 
 func (r *Registry) add(a Announcement) *localTarget {
 	t := &localTarget{
+		id:           a.ID,
+		address:      a.Address,
 		announcement: a,
 		limiter:      limiter.New(r.slots(a), r.queue(a)),
 	}
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -201,12 +201,12 @@
 
 // send sends a call to a target after a slot has been acquired for it.
 func (s *Server) send(ctx context.Context, t *localTarget, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
-	out := sender.Prepare(ctx, in, t.announcement.Address, in.Body, in.ContentLength)
+	out := sender.Prepare(ctx, in, t.address, in.Body, in.ContentLength)
 	origin := out.Header.Get(annotator.Origin)
 	tenant := out.Header.Get(annotator.Tenant)
 	annotator.CleanRequest(out.Header)
 	s.dialect.WriteDispatch(out.Header, fireflymoor.Dispatch{
-		Target:   t.announcement.ID,
+		Target:   t.id,
 		TimeLeft: remaining(ctx),
 		Origin:   origin,
 		Tenant:   tenant,
@@ -223,9 +223,9 @@
 	}
 	_ = response.Body.Close()
 	if verdict.Err != nil {
-		return nil, fireflymoor.Unknown, errors.Wrapf(verdict.Err, "target %s: read the answer", t.announcement.ID)
+		return nil, fireflymoor.Unknown, errors.Wrapf(verdict.Err, "target %s: read the answer", t.id)
 	}
-	err = errors.Wrapf(fireflymoor.ErrBusy, "target %s: refused", t.announcement.ID)
+	err = errors.Wrapf(fireflymoor.ErrBusy, "target %s: refused", t.id)
 	return nil, fireflymoor.NotRun, errors.Mark(err, fireflymoor.ErrRefusedByTarget)
 }
 
--- a/internal/target/tenant_test.go
+++ b/internal/target/tenant_test.go
@@ -126,3 +126,26 @@
 	_, running = b.server.IsRunning("id-kept")
 	is.True(!running)
 }
+
+// TestAnnounceDuringCall guards against a call that reads a target's announcement while
+// the next one replaces it. Only the race detector shows the fault.
+func TestAnnounceDuringCall(t *testing.T) {
+	is := is.New(t)
+	b := newBlockingTarget(t)
+	announcement := b.registry.targets["a"].announcement
+	done := make(chan error, 1)
+	go func() {
+		_, err := b.forward("id", "key")
+		done <- err
+	}()
+	for arrived := false; !arrived; {
+		b.registry.Announce(announcement, time.Now())
+		select {
+		case <-b.arrived:
+			arrived = true
+		default:
+		}
+	}
+	close(b.release)
+	is.NoErr(<-done)
+}
