--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -22,6 +22,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
 )
 
@@ -94,6 +95,8 @@
 	// used, which they may not in a process that was suspended. If it is nil, they
 	// always may.
 	IsCurrent func() bool
+	// Shaper shares the link between bulk responses and other traffic, or is nil.
+	Shaper *shaper.Shaper
 	// Metrics counts calls.
 	Metrics *Metrics
 	// RouteLog receives one line for each pick of a target, and Log all other
@@ -319,6 +322,9 @@
 	if report, known := annotator.TakeLoadReport(response.Header); known {
 		h.recordReport(c, pick.Target, report)
 	}
+	if c.route.Bulk && pick.Target.Node != h.options.Node {
+		h.paceBulk(ctx, response)
+	}
 	response.Body = &trackedBody{
 		ReadCloser: response.Body,
 		onClose:    end,
@@ -327,6 +333,19 @@
 	return response, outcome, nil
 }
 
+// paceBulk makes a bulk response of another node be passed on at the rate that the link
+// has for it.
+func (h *Handler) paceBulk(ctx context.Context, response *http.Response) {
+	if h.options.Shaper == nil || response.ContentLength <= 0 {
+		return
+	}
+	reservation := h.options.Shaper.Reserve()
+	response.Body = &shaper.Body{
+		Reader: reservation.Pace(ctx, response.Body, int(response.ContentLength)),
+		Closer: reservation.Closer(response.Body),
+	}
+}
+
 // tryID returns an id for a try of a call.
 func (h *Handler) tryID(id string) string {
 	return id + "." + h.options.Node + "." + strconv.FormatUint(h.trySequence.Add(1), tryIDBase)
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -156,7 +156,8 @@
 
 // initServers creates the HTTP servers of the node.
 func (n *node) initServers() {
-	local := target.NewServer(n.targets, n.dialect(), n.dialer, shaper.New(n.settings.LinkRate, n.registry), sender.WithBudget(n.heads))
+	bulk := shaper.New(n.settings.LinkRate, n.registry)
+	local := target.NewServer(n.targets, n.dialect(), n.dialer, bulk, sender.WithBudget(n.heads))
 	local.UseMetrics(target.NewMetrics(n.registry))
 	local.UseNeighbors(n.freeNeighbor)
 	var claims caller.Claims
@@ -180,6 +181,7 @@
 		RefusalRate:  retrier.NewRefusalRate(),
 		Claims:       claims,
 		Quota:        n.limits,
+		Shaper:       bulk,
 		Evidence:     n.evidence,
 		IsCurrent:    func() bool { return n.activity.isCurrent(time.Now()) },
 		Metrics:      caller.NewMetrics(n.registry),
--- a/internal/shaper/shaper.go
+++ b/internal/shaper/shaper.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// bulkShare is the share of the link that bulk responses may use. The rest carries
-	// calls, nested calls and control traffic without a queue.
-	bulkShare = 0.8
+	// bulkShare is the share of the link that the bodies of bulk responses may use. The
+	// rest carries their headers and acknowledgements, calls, nested calls and control
+	// traffic without a queue.
+	bulkShare = 0.6
 	// initialSize is the size assumed of a response before any was measured, in bytes.
 	initialSize = 64 << 10
 	// sizeSmoothing is the weight of the newest response in the mean size.
@@ -89,11 +90,26 @@
 		return nil, wait, false
 	}
 	s.admitted.Inc()
+	return s.reserve(), wait, true
+}
+
+// Reserve reserves the link for a bulk response that another node has sent and that
+// this one passes on to its caller. The caller must release the reservation.
+func (s *Shaper) Reserve() *Reservation {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.rate <= 0 {
+		return nil
+	}
+	return s.reserve()
+}
+
+func (s *Shaper) reserve() *Reservation {
 	s.backlog += s.meanSize
 	return &Reservation{
 		shaper:    s,
 		remaining: s.meanSize,
-	}, wait, true
+	}
 }
 
 func seconds(s float64) time.Duration {
--- a/internal/shaper/shaper_test.go
+++ b/internal/shaper/shaper_test.go
@@ -14,7 +14,7 @@
 
 const (
 	// testLink carries one megabyte of bulk responses a second.
-	testLink = 10_000_000
+	testLink = 8_000_000 / bulkShare
 	testSize = 100_000
 )
 
@@ -116,6 +116,21 @@
 	is.Equal(s.Backlog(), float64(testSize))
 }
 
+// TestPassedOnResponses guards against a link that is full because a node admits
+// responses of its own target beside those that it passes on to its callers.
+func TestPassedOnResponses(t *testing.T) {
+	is := is.New(t)
+	s, _ := newTestShaper()
+	passedOn := s.Reserve()
+	_ = passedOn.Pace(t.Context(), bytes.NewReader(nil), 5*testSize)
+	_, wait, ok := s.Admit(400 * time.Millisecond)
+	is.True(!ok)
+	is.Equal(wait, 500*time.Millisecond)
+	passedOn.Release()
+	_, _, ok = s.Admit(400 * time.Millisecond)
+	is.True(ok)
+}
+
 // TestUnknownLink guards against calls that are refused or delayed where the rate of the
 // link is not set.
 func TestUnknownLink(t *testing.T) {
--- a/internal/target/bulk.go
+++ b/internal/target/bulk.go
@@ -11,6 +11,7 @@
 
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
 )
 
 const (
@@ -45,12 +46,9 @@
 		reservation.Release()
 		return nil, outcome, err
 	}
-	closer := &closers{
-		body:    response.Body,
-		release: reservation.Release,
-	}
+	closer := reservation.Closer(response.Body)
 	if response.ContentLength < 0 || response.ContentLength > maxHeldResponse {
-		response.Body = &pacedBody{
+		response.Body = &shaper.Body{
 			Reader: response.Body,
 			Closer: closer,
 		}
@@ -61,27 +59,9 @@
 		_ = closer.Close()
 		return nil, fireflymoor.Unknown, errors.Wrapf(err, "target %s: read the answer", target.ID)
 	}
-	response.Body = &pacedBody{
+	response.Body = &shaper.Body{
 		Reader: reservation.Pace(ctx, bytes.NewReader(content), len(content)),
 		Closer: closer,
 	}
 	return response, outcome, nil
 }
-
-// pacedBody is a response body that is read at the rate of the link.
-type pacedBody struct {
-	io.Reader
-	io.Closer
-}
-
-// closers closes a response body and releases its reservation.
-type closers struct {
-	body    io.Closer
-	release func()
-}
-
-// Close implements io.Closer.
-func (c *closers) Close() error {
-	c.release()
-	return c.body.Close()
-}
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -56,7 +56,7 @@
 type localTarget struct {
 	// id and address do not change. Calls read them without the registry's lock, which
 	// the announcement requires.
-	id, address string
+	id, address  string
 	announcement Announcement
 	limiter      *limiter.Limiter
 	draining     bool
