--- a/internal/caller/candidates.go
+++ b/internal/caller/candidates.go
@@ -35,20 +35,34 @@
 	return filtered
 }
 
-// pick chooses a target that is ready and not yet tried, or a suspected one if
-// no ready target is left. It excludes ejected targets, up to the share of the
-// targets that the limits allow.
+// pick chooses one of the usable targets. It excludes ejected targets, up to the
+// share of the targets that the limits allow.
 func (h *Handler) pick(c *call, now time.Time) (fireflymoor.Pick, bool) {
-	all := h.options.Viewer.View().Targets(c.service.Name)
 	share := c.view.Configuration().Limits().EjectShare
-	ready := untried(all, fireflymoor.Ready, c.view.Configuration().Team(), c.tried)
-	if len(ready) == 0 {
-		ready = untried(all, fireflymoor.Suspect, c.view.Configuration().Team(), c.tried)
-	}
-	eligible := h.options.Ejector.Filter(ready, share, now)
+	eligible := h.options.Ejector.Filter(h.usable(c), share, now)
 	candidates := make([]fireflymoor.Candidate, 0, len(eligible))
 	for i := range eligible {
 		candidates = append(candidates, h.options.Tracker.Candidate(eligible[i], c.service.SlowStart, now))
 	}
+	if c.route.Bulk {
+		candidates = c.keepInZone(candidates)
+	}
 	return h.options.Balancer.Pick(notStalled(candidates), now)
 }
+
+// keepInZone returns the candidates in the availability zone of this node if there were
+// any at the first try of a bulk call, and all candidates otherwise. Links between zones
+// are expensive, and bulk calls can wait.
+func (c *call) keepInZone(candidates []fireflymoor.Candidate) []fireflymoor.Candidate {
+	var local []fireflymoor.Candidate
+	for i := range candidates {
+		if candidates[i].SameZone {
+			local = append(local, candidates[i])
+		}
+	}
+	c.inZone = c.inZone || len(c.tried) == 0 && len(local) > 0
+	if c.inZone {
+		return local
+	}
+	return candidates
+}
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -10,6 +10,7 @@
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
+	"github.com/fireflymoor/fireflymoor/internal/sender"
 )
 
 // cancelGrace is added to a route's objective to distinguish a caller that
@@ -20,7 +21,7 @@
 // early, its request could not be read, or the target's node was only busy. A
 // caller that canceled after the objective had good reason to.
 func (h *Handler) recordFailure(ctx context.Context, c *call, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) && time.Since(c.start) < c.route.Objective+cancelGrace {
+	if c.canceledEarly(ctx) {
 		return
 	}
 	if c.body.failed() && ctx.Err() == nil {
@@ -38,6 +39,12 @@
 	h.options.Ejector.RecordFailure(target.ID, time.Now())
 }
 
+// canceledEarly reports whether the caller canceled the call before its objective had
+// passed.
+func (c *call) canceledEarly(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && time.Since(c.start) < c.route.Objective+cancelGrace
+}
+
 // respond sends a target's response to the caller.
 func (h *Handler) respond(ctx context.Context, w http.ResponseWriter, c *call, response *http.Response) {
 	if c.grant != nil {
@@ -58,10 +65,20 @@
 	response.Header.Del(annotator.CallID)
 	response.Header.Del(annotator.Outcome)
 	h.options.Dialect.WriteResponse(response.Header, c.id)
-	receiver.RespondAtOnce(w, c.request)
+	if !sender.IsSending(response) {
+		c.abandonRequest(w)
+	}
 	receiver.Copy(w, response)
 }
 
+// abandonRequest makes the server respond without the rest of a long request, if it
+// has not been read.
+func (c *call) abandonRequest(w http.ResponseWriter) {
+	if !c.body.isRead() {
+		receiver.AbandonRequest(w, c.request)
+	}
+}
+
 // callerReason returns the reason for a failed call that its caller is told. The
 // error itself may name addresses of targets and sockets, and is only logged.
 func callerReason(ctx context.Context, c *call, outcome fireflymoor.Outcome, err error) string {
@@ -73,7 +90,7 @@
 	case ctx.Err() != nil:
 		return "the time for the call has passed"
 	}
-	for _, known := range []error{errNoTarget, errBodyNotReplayable, errRetryBudgetSpent, fireflymoor.ErrDraining, fireflymoor.ErrBusy} {
+	for _, known := range []error{errWithdrawn, errNoTarget, errBodyNotReplayable, errRetryBudgetSpent, fireflymoor.ErrDraining, fireflymoor.ErrBusy} {
 		if errors.Is(err, known) {
 			return known.Error()
 		}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,19 +19,24 @@
 	"github.com/fireflymoor/fireflymoor/internal/applier"
 	"github.com/fireflymoor/fireflymoor/internal/balancer"
 	"github.com/fireflymoor/fireflymoor/internal/caller"
+	"github.com/fireflymoor/fireflymoor/internal/collector"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
 	"github.com/fireflymoor/fireflymoor/internal/forwarder"
 	"github.com/fireflymoor/fireflymoor/internal/linker"
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/packer"
+	"github.com/fireflymoor/fireflymoor/internal/pipeliner"
 	"github.com/fireflymoor/fireflymoor/internal/platform"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/internal/tracker"
+	"github.com/fireflymoor/fireflymoor/internal/verifier"
+	"github.com/fireflymoor/fireflymoor/internal/vetter"
 	"github.com/fireflymoor/fireflymoor/internal/waiter"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
 	"github.com/fireflymoor/fireflymoor/pkg/renderer"
@@ -50,6 +57,14 @@
 	busyRebuildWindow     = time.Second
 	confirmTimeout        = 1500 * time.Millisecond
 	confirmRetryDelay     = 50 * time.Millisecond
+	// minQueryInterval is the minimum time between two queries for the newest version.
+	// It is queryIntervalPerMember for each member if that is more, so that all nodes
+	// together send at most 200 queries a second while clients use invalid keys
+	// everywhere. Each control replica admits as many.
+	minQueryInterval       = 20 * time.Millisecond
+	queryIntervalPerMember = 5 * time.Millisecond
+	// queryTryTimeout is the time after which another replica is queried.
+	queryTryTimeout = 250 * time.Millisecond
 )
 
 var errNotReporter = errors.New("this process does not collect reports")
@@ -58,12 +73,15 @@
 type node struct {
 	*member
 
-	applier      *applier.Applier
-	reports      *reports
-	targets      *target.Registry
-	tracker      *tracker.Tracker
-	packer       *packer.Packer
-	remote       *forwarder.Remote
+	applier  *applier.Applier
+	reports  *reports
+	targets  *target.Registry
+	tracker  *tracker.Tracker
+	packer   *packer.Packer
+	remote   *forwarder.Remote
+	verifier *verifier.Verifier
+	// members is the number of members of the overlay.
+	members      atomic.Int64
 	claims       *claims
 	view         atomic.Pointer[fireflymoor.View]
 	viewPending  bool
@@ -71,6 +89,17 @@
 	throttle     applier.Throttle
 	applyPending bool
 	leaving      atomic.Bool
+	// evidence sums up this node's calls to services under roll-out. If the node is
+	// its zone's reporter, relay sums up the calls of the zone's nodes, and
+	// relayFilter, which is accessed only on the sequencer, drops repeated messages.
+	evidence    *collector.Collector
+	relay       *collector.Collector
+	relayFilter *collector.Filter
+	activity    activity
+	// vetter is accessed only on the sequencer.
+	vetter *vetter.Vetter
+	// leaderIndex is the index of the replica that last took evidence.
+	leaderIndex atomic.Int64
 
 	// callers serves local callers, calls serves the calls that other nodes
 	// forward.
@@ -98,8 +127,16 @@
 		tracker: tracker.New(settings.Name, settings.Zone),
 		packer:  packer.New(settings.Name, m.dialect().CommonHeaders()...),
 		claims:  newClaims(settings, m.client),
+
+		evidence:    collector.New(settings.Name, m.boot),
+		relay:       collector.New(settings.Name, m.boot),
+		relayFilter: collector.NewFilter(),
+		vetter:      vetter.New(time.Now()),
 	}
 	n.remote = forwarder.NewRemote(m.dialer, n.packer, sender.WithBudget(m.heads))
+	n.verifier = verifier.New(n.newestVersion, func() time.Duration {
+		return max(time.Duration(n.members.Load())*queryIntervalPerMember, minQueryInterval)
+	})
 	empty := fireflymoor.NewView(fireflymoor.Configuration{}, nil)
 	n.view.Store(&empty)
 	n.targets = target.NewRegistry(settings.Name, settings.Lease, m.log, n.targetsChanged, func(ctx context.Context) error {
@@ -115,7 +152,7 @@
 
 // initServers creates the HTTP servers of the node.
 func (n *node) initServers() {
-	local := target.NewServer(n.targets, n.dialect(), n.dialer, sender.WithBudget(n.heads))
+	local := target.NewServer(n.targets, n.dialect(), n.dialer, shaper.New(n.settings.LinkRate, n.registry), sender.WithBudget(n.heads))
 	var claims caller.Claims
 	if n.settings.Keys {
 		claims = n.claims.claimer
@@ -125,6 +162,7 @@
 		Origin:      n.settings.CallerService,
 		Dialect:     n.dialect(),
 		IsRunning:   local.IsRunning,
+		Newest:      n.verifier.Newest,
 		Viewer:      n,
 		Balancer:    balancer.NewTwoChoices(),
 		Forwarder:   forwarder.New(n.settings.Name, local, n.remote),
@@ -133,6 +171,8 @@
 		Budget:      retrier.NewBudget(),
 		RefusalRate: retrier.NewRefusalRate(),
 		Claims:      claims,
+		Evidence:    n.evidence,
+		IsCurrent:   func() bool { return n.activity.isCurrent(time.Now()) },
 		Metrics:     caller.NewMetrics(n.registry),
 		Log:         n.rateLimitedLog(),
 		RouteLog:    n.rateLimitedLog(),
@@ -200,6 +240,14 @@
 
 // start starts the parts specific to a node.
 func (n *node) start(workCtx context.Context, group *sync.WaitGroup) {
+	pipelined := pipeliner.New(pipeliner.Options{
+		Depth:    n.settings.Pipeline,
+		Budget:   n.heads,
+		Leaving:  n.leaving.Load,
+		Registry: n.registry,
+	})
+	n.listeners[n.settings.Callers] = pipelined.Wrap(n.listeners[n.settings.Callers])
+	pipelined.Attach(n.callers)
 	n.serve(group, n.callers, "callers", n.settings.Callers)
 	n.serve(group, n.calls, "calls", n.settings.Calls)
 	n.serve(group, n.platform, "platform", n.settings.Platform)
@@ -210,6 +258,10 @@
 	group.Go(func() { n.confirm(workCtx) })
 	group.Go(func() { n.sequencer.Every(workCtx, reportInterval, func() { n.sendReports(workCtx) }) })
 	group.Go(func() { n.expireLeases(workCtx) })
+	group.Go(func() { n.sequencer.Every(workCtx, evidenceInterval, func() { n.sendEvidence(workCtx) }) })
+	group.Go(func() { n.sequencer.Every(workCtx, relayInterval, func() { n.sendRelayed(workCtx) }) })
+	group.Go(func() { n.vet(workCtx) })
+	group.Go(func() { n.activity.watch(workCtx) })
 	if n.settings.Keys {
 		group.Go(func() { n.sequencer.Every(workCtx, ringInterval, n.pruneRing) })
 		group.Go(func() { n.claims.restore(workCtx, n.log) })
@@ -348,7 +400,9 @@
 func (n *node) rebuildView() {
 	n.viewPending = false
 	n.lastRebuild = time.Now()
+	n.members.Store(int64(n.coordinator.Announcer().Len()))
 	targets := n.coordinator.Announcer().Targets()
+	n.vetter.Vet(targets, n.lastRebuild)
 	view := n.View().WithTargets(targets)
 	n.view.Store(&view)
 	n.tracker.Retain(targets)
@@ -395,11 +449,34 @@
 	}
 }
 
-// confirmAt sends a Confirm request to one replica. If the replica did not admit
-// the request, it returns the time to wait before the next attempt, and 0
-// otherwise.
-func (n *node) confirmAt(ctx context.Context, replica loader.Replica) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+// newestVersion returns the number of a version that a quorum confirmed after the call
+// began. It queries the control replicas in random order until one responds.
+func (n *node) newestVersion(ctx context.Context) (uint64, error) {
+	var replicas []loader.Replica
+	if err := n.sequencer.Do(ctx, func() { replicas = slices.Clone(n.replicas()) }); err != nil {
+		return 0, errors.Wrap(err, "node: find the replicas")
+	}
+	rand.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
+	err := errors.New("node: no replica is known")
+	for _, replica := range replicas {
+		var reply *messenger.ConfirmReply
+		reply, err = n.queryConfirmed(ctx, replica, queryTryTimeout)
+		if err == nil && reply.GetLaterMilliseconds() == 0 {
+			return reply.GetNumber(), nil
+		}
+		if err == nil {
+			err = errors.Newf("node: %s did not admit the query", replica.Name)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return 0, err
+}
+
+// queryConfirmed sends a Confirm request to one replica.
+func (n *node) queryConfirmed(ctx context.Context, replica loader.Replica, timeout time.Duration) (*messenger.ConfirmReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply *messenger.ConfirmReply
 	err := n.client.Call(ctx, replica.Address, func(conn drpc.Conn) error {
@@ -407,9 +484,17 @@
 		reply, err = messenger.NewDRPCSourceClient(conn).Confirm(ctx, &messenger.Empty{})
 		return err
 	})
+	return reply, errors.Wrapf(err, "node: confirm at %s", replica.Name)
+}
+
+// confirmAt sends a Confirm request to one replica. If the replica did not admit
+// the request, it returns the time to wait before the next attempt, and 0
+// otherwise.
+func (n *node) confirmAt(ctx context.Context, replica loader.Replica) (time.Duration, error) {
+	reply, err := n.queryConfirmed(ctx, replica, confirmTimeout)
 	if err != nil {
 		n.log.Info().Str("replica", replica.Name).Err(err).Msg("config: not confirmed")
-		return 0, errors.Wrapf(err, "node: confirm at %s", replica.Name)
+		return 0, err
 	}
 	if reply.GetLaterMilliseconds() > 0 {
 		return time.Duration(reply.GetLaterMilliseconds()) * time.Millisecond, nil
