internal/detector: count calls whose callers have left

Callers on the large site saw targets work on for callers that had left. Neither logs nor metrics told when a departure was noticed, in which state the call was, or how many calls were sent on after it.

Add detector.HasLeft, which looks at the socket of a request for its end rather than waiting for net/http to read it. Count and log departures at the node that took the call, before and during tries, and count at the target's node calls whose connection ended in the queue, by the time they got a slot, or at the target. Routing does not change.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -19,6 +19,7 @@
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
 	"github.com/fireflymoor/fireflymoor/internal/claimer"
+	"github.com/fireflymoor/fireflymoor/internal/detector"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
@@ -240,6 +241,9 @@
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, c *call) {
 	ran := false
 	for {
+		if detector.HasLeft(ctx) {
+			h.recordDeparture(c, stageUnsent)
+		}
 		response, outcome, err := h.try(ctx, c)
 		ran = ran || outcome == fireflymoor.Unknown
 		if outcome == fireflymoor.Answered && h.mayReplace(ctx, c, response) {
@@ -249,6 +253,9 @@
 			h.respond(ctx, w, c, response)
 			return
 		}
+		if isCanceled(ctx) {
+			h.recordDeparture(c, stageTry)
+		}
 		if h.mayRetry(ctx, c, outcome, err) {
 			continue
 		}
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -34,6 +34,7 @@
 	failedTries *prometheus.CounterVec
 	claims      *prometheus.CounterVec
 	picks       *prometheus.CounterVec
+	departed    *prometheus.CounterVec
 	duration    prometheus.Histogram
 }
 
@@ -61,13 +62,17 @@
 			Name: "fireflymoor_picks_total",
 			Help: "Choices of a target, by reason.",
 		}, []string{"reason"}),
+		departed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflymoor_departed_callers_total",
+			Help: "Calls whose callers left before their answer, by where the calls were then.",
+		}, []string{"stage"}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "fireflymoor_call_seconds",
 			Help:    "Time from a call's arrival to the head of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
 		}),
 	}
-	registry.MustRegister(m.calls, m.tenantCalls, m.failedTries, m.claims, m.picks, m.duration)
+	registry.MustRegister(m.calls, m.tenantCalls, m.failedTries, m.claims, m.picks, m.departed, m.duration)
 	return m
 }
 
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -88,6 +88,11 @@
 	return c
 }
 
+// NetConn returns the connection that this one wraps.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // bind makes the end of the connection cancel its calls.
 func (c *conn) bind(ctx context.Context) context.Context {
 	c.lock.Lock()
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -98,8 +98,8 @@
 
 type connKey struct{}
 
-// Attach makes a server serve pipelined requests concurrently. It must be called before
-// other parts set the server's ConnContext, and they must keep its result.
+// Attach makes a server serve pipelined requests concurrently. The calls that begin
+// ahead of their turn have the values of the server's ConnContext as it was before.
 func (p *Pipeliner) Attach(server *http.Server) {
 	if p.options.Depth < 2 {
 		return
@@ -107,7 +107,11 @@
 	p.server = server
 	p.handler = server.Handler
 	server.Handler = http.HandlerFunc(p.serveHTTP)
+	inner := server.ConnContext
 	server.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
+		if inner != nil {
+			ctx = inner(ctx, accepted)
+		}
 		c := underlying(accepted)
 		if c == nil {
 			return ctx
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -21,6 +21,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/asserter"
 	"github.com/fireflymoor/fireflymoor/internal/coordinator"
 	"github.com/fireflymoor/fireflymoor/internal/counter"
+	"github.com/fireflymoor/fireflymoor/internal/detector"
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/linker"
 	"github.com/fireflymoor/fireflymoor/internal/loader"
@@ -189,13 +190,15 @@
 // newServer returns an HTTP server with limits on the time and size of request
 // headers and on idle connections.
 func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          nil,
 	}
+	detector.Attach(server)
+	return server
 }
 
 // serve serves HTTP on an address until the server is shut down, within the limits on
--- a/internal/target/metrics.go
+++ b/internal/target/metrics.go
@@ -16,6 +16,7 @@
 type Metrics struct {
 	queued   prometheus.Histogram
 	sentBack *prometheus.CounterVec
+	departed *prometheus.CounterVec
 }
 
 // NewMetrics returns new Metrics that are registered with registry.
@@ -30,11 +31,31 @@
 			Name: "fireflymoor_sent_back_total",
 			Help: "Calls that a full target's node sent back, by whether it named another target.",
 		}, []string{"neighbor"}),
+		departed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflymoor_departed_calls_total",
+			Help: "Calls to targets of this instance whose connection ended before their answer, by where the calls were then.",
+		}, []string{"stage"}),
 	}
-	registry.MustRegister(m.queued, m.sentBack)
+	registry.MustRegister(m.queued, m.sentBack, m.departed)
 	return m
 }
 
+// Stages of a call at the target's node at which the end of its connection is noticed.
+const (
+	// stageQueue is the wait for a slot, stageSlot when the call got one, and
+	// stageTarget while the target works on it.
+	stageQueue  = "queue"
+	stageSlot   = "slot"
+	stageTarget = "target"
+)
+
+// observeDeparture counts a call whose connection has ended.
+func (m *Metrics) observeDeparture(stage string) {
+	if m != nil {
+		m.departed.WithLabelValues(stage).Inc()
+	}
+}
+
 // observeWait records how long a call waited for its slot.
 func (m *Metrics) observeWait(wait time.Duration) {
 	if m != nil {
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
+	"github.com/fireflymoor/fireflymoor/internal/detector"
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/limiter"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
@@ -137,6 +138,9 @@
 	keyID := in.Header.Get(annotator.KeyID)
 	arrived := time.Now()
 	if err := t.limiter.Acquire(ctx, ticket); err != nil {
+		if in.Context().Err() != nil {
+			s.metrics.observeDeparture(stageQueue)
+		}
 		s.addReport(t, err)
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(err, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
 	}
@@ -150,6 +154,9 @@
 		t.limiter.Release(ticket, 0)
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(errKeyWithdrawn, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
 	}
+	if detector.HasLeft(ctx) {
+		s.metrics.observeDeparture(stageSlot)
+	}
 	untrack := s.trackRunning(in.Header)
 	release := func() {
 		untrack()
@@ -157,6 +164,9 @@
 	}
 	response, outcome, err := s.send(ctx, t, in)
 	if err != nil {
+		if in.Context().Err() != nil {
+			s.metrics.observeDeparture(stageTarget)
+		}
 		release()
 		return nil, outcome, err
 	}
