internal/detector: do not send calls whose callers have left

Callers that had closed their connections still had their calls sent to targets and run: those that left before a busy node read their requests, and those that left while their calls waited for a slot.

Cause: a departure is known only through the context of the request, which net/http cancels once a goroutine has read the end of the connection. That goroutine starts with the handler, and for a request with a body only after the body has been read, which happens when the call is sent. A request whose end is already in the receive buffer is sent first, over each hop.

Change: before each try, and when a call gets a slot of its target, the node looks at the socket. A call of a departed caller is not run, returns its slot without a trace in the estimates of waits, and does not count against its target. Calls with an idempotency key go on for resends, as before. A test at the last point before the target cannot be late, whatever else the process has to do.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -241,9 +241,6 @@
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, c *call) {
 	ran := false
 	for {
-		if detector.HasLeft(ctx) {
-			h.recordDeparture(c, stageUnsent)
-		}
 		response, outcome, err := h.try(ctx, c)
 		ran = ran || outcome == fireflymoor.Unknown
 		if outcome == fireflymoor.Answered && h.mayReplace(ctx, c, response) {
@@ -253,9 +250,7 @@
 			h.respond(ctx, w, c, response)
 			return
 		}
-		if isCanceled(ctx) {
-			h.recordDeparture(c, stageTry)
-		}
+		h.recordDeparture(ctx, c, err)
 		if h.mayRetry(ctx, c, outcome, err) {
 			continue
 		}
@@ -285,6 +280,9 @@
 // try sends the call to one target and records the result.
 func (h *Handler) try(ctx context.Context, c *call) (*http.Response, fireflymoor.Outcome, error) {
 	now := time.Now()
+	if detector.HasLeft(ctx) {
+		return nil, fireflymoor.NotRun, fireflymoor.ErrCallerLeft
+	}
 	if !h.recheckKey(c) {
 		return nil, fireflymoor.NotRun, errWithdrawn
 	}
--- a/internal/caller/departure.go
+++ b/internal/caller/departure.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fireflymoor/fireflymoor"
 )
 
 // Stages of a call at which the departure of its caller is noticed.
@@ -14,13 +16,16 @@
 	stageTry    = "try"
 )
 
-// isCanceled reports whether a call was canceled because its caller has left.
-func isCanceled(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled)
-}
-
-// recordDeparture counts and logs a call whose caller has left before its response.
-func (h *Handler) recordDeparture(c *call, stage string) {
+// recordDeparture counts and logs a call if it got no response, for the given reason,
+// and its caller has left.
+func (h *Handler) recordDeparture(ctx context.Context, c *call, reason error) {
+	stage := stageTry
+	switch {
+	case errors.Is(reason, fireflymoor.ErrCallerLeft):
+		stage = stageUnsent
+	case !errors.Is(ctx.Err(), context.Canceled):
+		return
+	}
 	h.options.Metrics.departed.WithLabelValues(stage).Inc()
 	if h.options.Decisions {
 		h.options.Log.Info().Str("call", c.id).Str("stage", stage).Strs("tried", c.tried).
--- a/internal/caller/idempotency.go
+++ b/internal/caller/idempotency.go
@@ -12,6 +12,7 @@
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
 	"github.com/fireflymoor/fireflymoor/internal/claimer"
+	"github.com/fireflymoor/fireflymoor/internal/detector"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 )
 
@@ -50,7 +51,7 @@
 // caller has disconnected, so that a resend gets the response.
 func (h *Handler) serveKeyed(ctx context.Context, w http.ResponseWriter, c *call, key string) {
 	deadline, _ := ctx.Deadline()
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	ctx, cancel := context.WithDeadline(detector.Detach(context.WithoutCancel(ctx)), deadline)
 	defer cancel()
 	scopedKey := c.view.Configuration().Team() + "\x00" + c.service.Name + "\x00" + key
 	if tenant := c.identity.tenant.Name; tenant != "" {
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -18,10 +18,11 @@
 const cancelGrace = 50 * time.Millisecond
 
 // recordFailure counts a failure against a target, unless the caller canceled
-// early, its request could not be read, or the target's node was only busy. A
+// early, was known to have left, its request could not be read, or the target's node was
+// only busy. A
 // caller that canceled after the objective had good reason to.
 func (h *Handler) recordFailure(ctx context.Context, c *call, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
-	if c.canceledEarly(ctx) {
+	if c.canceledEarly(ctx) || errors.Is(err, fireflymoor.ErrCallerLeft) {
 		return
 	}
 	if c.body.failed() && ctx.Err() == nil {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -204,6 +204,14 @@
 	l.freeSlot(ticket.class())
 }
 
+// Return frees the slot of a call that was not sent to the target, whose time says
+// nothing of how long calls hold a slot.
+func (l *Limiter) Return(ticket Ticket) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.freeSlot(ticket.class())
+}
+
 // movingAverage returns the exponentially weighted moving average with the newest
 // value included. A zero average counts as unset.
 func movingAverage(mean, newest time.Duration) time.Duration {
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -143,3 +143,23 @@
 		is.Equal(hold, 100*time.Millisecond)
 	})
 }
+
+// TestReturnedSlot guards against slots that are lost, and against waits that are
+// estimated too short, because calls get a slot that are not sent to the target.
+func TestReturnedSlot(t *testing.T) {
+	is := is.New(t)
+	l := New(1, 1)
+	ticket := Ticket{
+		Rank: -1,
+	}
+	is.NoErr(l.Acquire(t.Context(), ticket))
+	l.Release(ticket, time.Second)
+	for range 10 {
+		is.NoErr(l.Acquire(t.Context(), ticket))
+		l.Return(ticket)
+	}
+	load, hold := l.Report(0)
+	is.Equal(load, 0.0)
+	is.Equal(hold, time.Second)
+	is.Equal(l.nested, 0)
+}
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -156,6 +156,8 @@
 	}
 	if detector.HasLeft(ctx) {
 		s.metrics.observeDeparture(stageSlot)
+		t.limiter.Return(ticket)
+		return nil, fireflymoor.NotRun, errors.Wrapf(fireflymoor.ErrCallerLeft, "target %s: take a slot", target.ID)
 	}
 	untrack := s.trackRunning(in.Header)
 	release := func() {
--- a/outcome.go
+++ b/outcome.go
@@ -7,6 +7,9 @@
 )
 
 var (
+	// ErrCallerLeft marks a call that was not sent to a target because its caller has
+	// left.
+	ErrCallerLeft = errors.New("the caller has left")
 	// ErrBusy marks a refusal by a target's node that is reachable and healthy.
 	ErrBusy = errors.New("refused by the target's node")
 	// ErrRefusedByTarget marks a refusal by the target itself, after the call
