internal/target: end the wait for a slot with the call's connection

Calls that must not repeat kept their places in the queues of full targets after their callers had left: the calls behind them waited longer, or were refused because the queue seemed too long.

Cause, in two places. At the target's node such a call outlives its connection by a second or more, so that its state can be queried; that covered the wait for a slot, in which it has not run and a query is answered with not-run all the same. At a node with a target of its own, the body was read only when the call got its slot, and net/http does not notice that a caller leaves before the body has been read.

Evidence: TestQueuedCallOfDepartedCaller with a check of the queue added failed for all 4 variants of POST and for none of GET.

Change: the wait for a slot ends with the connection, and only what was sent outlives it. A body of known length that can be buffered is read before the first try, unless the caller waits for permission to send it. A call with an idempotency key gets the context that goes on without its caller throughout.

Result: the test holds for all 8 variants; packages caller, target and limiter pass.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -66,6 +66,17 @@
 	}), b.length
 }
 
+// prefetch reads a body of known length that can be buffered to its end. The server
+// notices that the caller leaves only from then on. A failure is left to the reader of the
+// first try.
+func (b *body) prefetch() {
+	if b.length <= 0 || b.length > maxReplayBytes {
+		return
+	}
+	reader, _ := b.reader()
+	_, _ = io.Copy(io.Discard, reader)
+}
+
 // rewind ends the earlier readers, which a transport may still hold, so that the
 // body can be read again from its start. If it cannot, rewind reports false, and the
 // current reader can still be used.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -195,6 +195,9 @@
 	defer cancel()
 	service, _ := a.view.Configuration().Service(route.Choose(rand.Float64()))
 	callBody := newBody(request.Body, request.ContentLength, route.MaxBody)
+	if request.Header.Get("Expect") == "" {
+		callBody.prefetch()
+	}
 	c := &call{
 		id:       id,
 		route:    route,
--- a/internal/caller/idempotency.go
+++ b/internal/caller/idempotency.go
@@ -53,6 +53,7 @@
 	deadline, _ := ctx.Deadline()
 	ctx, cancel := context.WithDeadline(detector.Detach(context.WithoutCancel(ctx)), deadline)
 	defer cancel()
+	c.request = c.request.WithContext(ctx)
 	scopedKey := c.view.Configuration().Team() + "\x00" + c.service.Name + "\x00" + key
 	if tenant := c.identity.tenant.Name; tenant != "" {
 		// Without the tenant, a tenant could read the responses of others.
--- a/internal/runner/departed_caller_test.go
+++ b/internal/runner/departed_caller_test.go
@@ -197,8 +197,8 @@
 	return load
 }
 
-// TestQueuedCallOfDepartedCaller guards against calls that get a slot and reach their
-// target although their callers left while they were waiting for it (GONE).
+// TestQueuedCallOfDepartedCaller guards against calls that keep a place in the queue, get a
+// slot and reach their target although their callers left while they were waiting (GONE).
 func TestQueuedCallOfDepartedCaller(t *testing.T) {
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
 		for node, forwarded := range map[string]bool{"far": false, "near": true} {
@@ -218,6 +218,7 @@
 					f.is.True(f.waitFor(5*time.Second, func() bool { return f.load() == 2 }))
 					time.Sleep(waited)
 					f.is.NoErr(queued.Close())
+					f.is.True(f.waitFor(departureLimit, func() bool { return f.load() == 1 })) // it gives up its place in the queue
 					time.Sleep(departureLimit)
 					f.unblock()
 					time.Sleep(settleTime)
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -137,7 +137,7 @@
 	ticket := readTicket(in.Header, configuration)
 	keyID := in.Header.Get(annotator.KeyID)
 	arrived := time.Now()
-	if err := t.limiter.Acquire(ctx, ticket); err != nil {
+	if err := acquire(ctx, in.Context(), t.limiter, ticket); err != nil {
 		if in.Context().Err() != nil {
 			s.metrics.observeDeparture(stageQueue)
 		}
@@ -180,6 +180,15 @@
 	return response, fireflymoor.Answered, nil
 }
 
+// acquire acquires a slot for a call. A call that waits has not run, so that the wait ends
+// with the call's connection, even if the call would outlive that once it was sent.
+func acquire(ctx, connection context.Context, slots *limiter.Limiter, ticket limiter.Ticket) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(connection, cancel)()
+	return slots.Acquire(ctx, ticket)
+}
+
 // keyWithdrawn reports whether the key with an id was in the configuration in which a
 // call arrived, and is not in the current one. A key that this node has never known may
 // be newer than its configuration.
