internal/receiver: end calls that nobody queries any more

Targets worked on for callers that had left, until the deadline of the call, if the call was one that must not repeat and its state had been queried once before. Each such call is queried that takes longer than its objective.

Cause: a call whose connection has broken goes on if its state was queried at any time, also long before the break. A query shows that its caller waits at that moment, and says nothing of the time after it.

Evidence: TestRunningCallOfDepartedCaller/POST/queried: on the target still works 5 s after its caller left.

Change: the record of a call holds when it was last queried. An orphaned call ends one second after its connection, or two seconds after its last query, whichever is later. Nodes that wait for a call query it about once a second or more often, so that it goes on for them.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -18,6 +18,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/forwarder"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
+	"github.com/fireflymoor/fireflymoor/internal/waiter"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// queryGrace is how long a call whose connection broke may continue without
 	// being queried for.
 	queryGrace = time.Second
+	// maxQueryGap is how long it may continue after a query without another one. It
+	// is longer than the time between queries, even if one is lost.
+	maxQueryGap = 2 * time.Second
 )
 
 // A Receiver is the HTTP handler for calls from other nodes.
@@ -71,23 +75,16 @@
 }
 
 // callContext returns the context for running a call. A call that must not
-// repeat outlives its connection for queryGrace. If its state is queried over
-// another connection in that time, it continues; otherwise its caller is
-// assumed to have left and it is canceled.
+// repeat outlives its connection for as long as its state is queried over other
+// connections. Otherwise its caller is assumed to have left and it is canceled.
 func (r *Receiver) callContext(request *http.Request, id string, timeout time.Duration) (context.Context, context.CancelFunc) {
 	if request.Header.Get(annotator.Once) == "" {
 		return context.WithTimeout(request.Context(), timeout)
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(request.Context()), timeout)
 	stop := context.AfterFunc(request.Context(), func() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(queryGrace):
-		}
-		if !r.registrar.Queried(id) {
-			cancel()
-		}
+		r.awaitLastQuery(ctx, id)
+		cancel()
 	})
 	return ctx, func() {
 		stop()
@@ -95,6 +92,22 @@
 	}
 }
 
+// awaitLastQuery waits until a call whose connection has just broken is not queried any
+// more, or until ctx ends.
+func (r *Receiver) awaitLastQuery(ctx context.Context, id string) {
+	end := time.Now().Add(queryGrace)
+	for ctx.Err() == nil {
+		if last, ok := r.registrar.LastQuery(id); ok && last.Add(maxQueryGap).After(end) {
+			end = last.Add(maxQueryGap)
+		}
+		wait := time.Until(end)
+		if wait <= 0 {
+			return
+		}
+		waiter.Pause(ctx, wait)
+	}
+}
+
 // serve sends the call to its target, writes the response and records the end
 // of the call.
 func (r *Receiver) serve(ctx context.Context, w http.ResponseWriter, request *http.Request, id string) {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -68,11 +68,12 @@
 
 // call is the record of one call.
 type call struct {
-	state    State
-	queried  bool
-	response *Response
-	ended    time.Time
-	done     chan struct{}
+	state State
+	// queriedAt is when the state was last queried. It is zero before the first query.
+	queriedAt time.Time
+	response  *Response
+	ended     time.Time
+	done      chan struct{}
 }
 
 // A Registrar records calls by their ids.
@@ -154,7 +155,7 @@
 		defer r.lock.Unlock()
 		return r.refuse(id, age, now), nil
 	}
-	c.queried = true
+	c.queriedAt = now
 	r.lock.Unlock()
 	select {
 	case <-c.done:
@@ -165,12 +166,16 @@
 	return c.state, c.response
 }
 
-// Queried reports whether the state of a call has been queried.
-func (r *Registrar) Queried(id string) bool {
+// LastQuery returns when the state of a call was last queried. It reports false if that
+// has not been queried yet.
+func (r *Registrar) LastQuery(id string) (time.Time, bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	c := r.calls[id]
-	return c != nil && c.queried
+	if c == nil || c.queriedAt.IsZero() {
+		return time.Time{}, false
+	}
+	return c.queriedAt, true
 }
 
 // refuse records the refusal of a call. It returns Unknown if the call may have
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -35,8 +35,8 @@
 		_, response := r.Revoke(t.Context(), "a", 0, now)
 		got <- response
 	}()
-	for !r.Queried("a") {
-		time.Sleep(time.Millisecond)
+	for queried := false; !queried; time.Sleep(time.Millisecond) {
+		_, queried = r.LastQuery("a")
 	}
 	r.End("a", Answered, &Response{
 		Status: 200,
