--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -17,10 +17,9 @@
 // canceled early from one whose call got no response in time.
 const cancelGrace = 50 * time.Millisecond
 
-// recordFailure counts a failure against a target, unless the caller canceled
-// early, was known to have left, its request could not be read, or the target's node was
-// only busy. A
-// caller that canceled after the objective had good reason to.
+// recordFailure counts a failure against a target, unless the caller canceled early or
+// had left before the call was sent, its request could not be read, or the target's node
+// was only busy. A caller that canceled after the objective had good reason to.
 func (h *Handler) recordFailure(ctx context.Context, c *call, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
 	if c.canceledEarly(ctx) || errors.Is(err, fireflymoor.ErrCallerLeft) {
 		return
