internal/runner: tell the two targets of TestRetryOfUpload apart

Cause: both targets reported over one channel, and the test took the first report for that of the first target. The second may come first, and a failure left reports behind that filled the channel.

Each target now has its own channel.

--- a/internal/runner/early_variants_test.go
+++ b/internal/runner/early_variants_test.go
@@ -75,13 +75,15 @@
 	for _, length := range []int{kept - 1, kept, kept + 1, kept + 16<<10} {
 		for _, chunked := range []bool{true, false} {
 			tries := atomic.Int64{}
-			received := make(chan error, 2)
+			// The two targets may end in either order.
+			received := []chan error{make(chan error, 1), make(chan error, 1)}
 			serve := func(w http.ResponseWriter, request *http.Request) {
-				if tries.Add(1) == 1 {
+				try := tries.Add(1)
+				if try == 1 {
 					_, _ = io.ReadFull(request.Body, make([]byte, kept/2))
 					answerEarly(w, http.StatusInternalServerError, 10)
 				}
-				received <- compare(request.Body, content[:length])
+				received[try-1] <- compare(request.Body, content[:length])
 			}
 			path := newCallPath(t, serve, serve)
 			for nodes, host := range path.hosts(t) {
@@ -99,11 +101,10 @@
 					u.end(is, conn)
 					response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 					is.NoErr(err)
-					first := awaitResult(received)
-					is.True(first != nil) // the first target had read a part before
+					is.True(awaitResult(received[0]) != nil) // the first target had read a part before
 					if tries.Load() > 1 {
 						is.Equal(response.StatusCode, http.StatusOK)
-						is.NoErr(awaitResult(received))
+						is.NoErr(awaitResult(received[1]))
 					}
 				})
 			}
