internal/target: report the limits that targets state

The dialect now reads the limit and the notice of leaving from a response; the target's node logs the start, the changes and the end of a limit, warns once of a limit that cannot be read, and has fireflymoor_target_limit{target}, its age, and fireflymoor_target_calls_total{limited}. No call is treated differently.

--- a/dialect.go
+++ b/dialect.go
@@ -41,6 +41,17 @@
 	Load TargetLoad
 }
 
+// A Notice is what a target states about itself in a response.
+type Notice struct {
+	// Limit is how many calls per second the target accepts from all nodes together,
+	// or 0 if it states no limit.
+	Limit float64
+	// InvalidLimit is the text of a limit that cannot be read, or empty.
+	InvalidLimit string
+	// Leaving is set if the target is about to end and accepts no new calls.
+	Leaving bool
+}
+
 // A Refusal is the response to a call that has no response from a target.
 type Refusal struct {
 	// Status is the HTTP status code.
@@ -74,6 +85,8 @@
 	// ReadResponse reads a target's response to a request. It removes from the
 	// response header the fields that are not meant for the caller.
 	ReadResponse(request, response http.Header, status int) Verdict
+	// ReadNotice reads what a target states about itself in the header of a response.
+	ReadNotice(response http.Header) Notice
 	// WriteResponse writes the metadata of the call with the id to the header of a
 	// response to a caller.
 	WriteResponse(header http.Header, id string)
--- a/internal/annotator/annotator.go
+++ b/internal/annotator/annotator.go
@@ -36,6 +36,15 @@
 	Replayed = "Fireflymoor-Replayed"
 )
 
+// Headers of targets' responses.
+const (
+	// TargetLimit is how many calls per second the target accepts from all nodes
+	// together, as a decimal number above 0. It applies until a response lacks it.
+	TargetLimit = "Fireflymoor-Target-Limit"
+	// TargetLeaving is 1 in all responses of a target that is about to end.
+	TargetLeaving = "Fireflymoor-Target-Leaving"
+)
+
 // Headers between nodes.
 const (
 	// TargetID is the id of the target that the sending node chose.
--- a/internal/annotator/dialect.go
+++ b/internal/annotator/dialect.go
@@ -66,6 +66,11 @@
 	return fireflymoor.Verdict{}
 }
 
+// ReadNotice implements fireflymoor.Dialect.
+func (dialect) ReadNotice(response http.Header) fireflymoor.Notice {
+	return ParseNotice(response[TargetLimit], response[TargetLeaving])
+}
+
 // WriteResponse implements fireflymoor.Dialect.
 func (dialect) WriteResponse(header http.Header, id string) {
 	header.Set(CallID, id)
--- /dev/null
+++ b/internal/target/limit.go
@@ -0,0 +1,135 @@
+package target
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/fireflymoor/fireflymoor"
+)
+
+// limitLogInterval is the minimum time between two log lines about changes of a
+// target's limit.
+const limitLogInterval = time.Second
+
+// statedLimit is the limit that a target last stated.
+type statedLimit struct {
+	lock sync.Mutex
+	// rate is in calls per second. It is 0 if the target states no limit.
+	rate float64
+	// at is when a response last stated the limit.
+	at       time.Time
+	loggedAt time.Time
+	// warned is set once an invalid limit was logged.
+	warned bool
+}
+
+// record records the limit in a response to a call that was sent at sentAt. A response
+// without a limit ends the limit only if its call was sent after the limit was last
+// stated, because responses over different connections overtake each other. It reports
+// whether the limit has changed.
+func (l *statedLimit) record(rate float64, sentAt, now time.Time) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if rate == 0 && (l.rate == 0 || sentAt.Before(l.at)) {
+		return false
+	}
+	changed := l.rate != rate
+	l.rate = rate
+	l.at = now
+	return changed
+}
+
+// state returns the limit, or 0 if there is none, and when it was last stated.
+func (l *statedLimit) state() (rate float64, at time.Time) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.rate, l.at
+}
+
+// mayLogChange reports whether a change of the limit should be logged: its start and
+// its end always are.
+func (l *statedLimit) mayLogChange(ends bool, now time.Time) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if !ends && now.Sub(l.loggedAt) < limitLogInterval {
+		return false
+	}
+	l.loggedAt = now
+	if ends {
+		l.loggedAt = time.Time{}
+	}
+	return true
+}
+
+// mayWarn reports whether an invalid limit should be logged, which it is once.
+func (l *statedLimit) mayWarn() bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	warns := !l.warned
+	l.warned = true
+	return warns
+}
+
+// observeNotice records what a target stated in a response to a call that was sent at
+// sentAt.
+func (s *Server) observeNotice(t *localTarget, notice fireflymoor.Notice, sentAt time.Time) {
+	now := time.Now()
+	log := s.registry.log
+	if notice.InvalidLimit != "" && t.limit.mayWarn() {
+		log.Warn().Str("target", t.id).Str("limit", notice.InvalidLimit).
+			Msg("target: the limit is no decimal number above 0 and is ignored")
+	}
+	if !t.limit.record(notice.Limit, sentAt, now) {
+		return
+	}
+	if t.limit.mayLogChange(notice.Limit == 0, now) {
+		logLimit(log, t.id, notice.Limit)
+	}
+}
+
+func logLimit(log zerolog.Logger, id string, rate float64) {
+	if rate == 0 {
+		log.Info().Str("target", id).Msg("target: limit ended")
+		return
+	}
+	log.Info().Str("target", id).Float64("per-second", rate).Msg("target: limit stated")
+}
+
+// observeSent counts a call that is sent to a target.
+func (m *Metrics) observeSent(limited bool) {
+	if m != nil {
+		m.sent.WithLabelValues(strconv.FormatBool(limited)).Inc()
+	}
+}
+
+var (
+	limitDescription = prometheus.NewDesc("fireflymoor_target_limit",
+		"Calls per second that a target of this instance accepts, as it stated last.", []string{"target"}, nil)
+	limitAgeDescription = prometheus.NewDesc("fireflymoor_target_limit_age_seconds",
+		"Time since a target of this instance last stated its limit.", []string{"target"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (*Registry) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- limitDescription
+	descriptions <- limitAgeDescription
+}
+
+// Collect implements prometheus.Collector. It reports the targets that state a limit.
+func (r *Registry) Collect(metrics chan<- prometheus.Metric) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	now := time.Now()
+	for id, t := range r.targets {
+		rate, at := t.limit.state()
+		if rate == 0 {
+			continue
+		}
+		metrics <- prometheus.MustNewConstMetric(limitDescription, prometheus.GaugeValue, rate, id)
+		metrics <- prometheus.MustNewConstMetric(limitAgeDescription, prometheus.GaugeValue, now.Sub(at).Seconds(), id)
+	}
+}
--- a/internal/target/metrics.go
+++ b/internal/target/metrics.go
@@ -17,6 +17,7 @@
 	queued   prometheus.Histogram
 	sentBack *prometheus.CounterVec
 	departed *prometheus.CounterVec
+	sent     *prometheus.CounterVec
 }
 
 // NewMetrics returns new Metrics that are registered with registry.
@@ -35,8 +36,12 @@
 			Name: "fireflymoor_departed_calls_total",
 			Help: "Calls to targets of this instance whose connection ended before their answer, by where the calls were then.",
 		}, []string{"stage"}),
+		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflymoor_target_calls_total",
+			Help: "Calls sent to targets of this instance, by whether the target stated a limit then.",
+		}, []string{"limited"}),
 	}
-	registry.MustRegister(m.queued, m.sentBack, m.departed)
+	registry.MustRegister(m.queued, m.sentBack, m.departed, m.sent)
 	return m
 }
 
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -62,6 +62,7 @@
 	draining     bool
 	renewedAt    time.Time
 	own          ownLoad
+	limit        statedLimit
 }
 
 // record is the latest state received of a target. It is kept after the target is
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -232,11 +232,17 @@
 		Origin:   origin,
 		Tenant:   tenant,
 	})
+	sentAt := time.Now()
+	limit, _ := t.limit.state()
+	s.metrics.observeSent(limit > 0)
 	response, outcome, err := sender.Send(s.transport, out)
 	if err != nil {
 		return nil, outcome, err
 	}
 	verdict := s.dialect.ReadResponse(out.Header, response.Header, response.StatusCode)
+	if verdict.Err == nil {
+		s.observeNotice(t, s.dialect.ReadNotice(response.Header), sentAt)
+	}
 	t.own.record(verdict.Load, time.Now())
 	if verdict.Err == nil && !verdict.NotRun {
 		s.setLoad(t, response.Header)
