internal/runner: show targets that get more calls than they state

Three nodes and one or two stand-in targets. A target that states that it is leaving gets calls as before.

--- /dev/null
+++ b/internal/runner/target_limit_test.go
@@ -0,0 +1,304 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/annotator"
+	"github.com/fireflymoor/fireflymoor/internal/balancer"
+	"github.com/fireflymoor/fireflymoor/internal/caller"
+	"github.com/fireflymoor/fireflymoor/internal/counter"
+	"github.com/fireflymoor/fireflymoor/internal/dialer"
+	"github.com/fireflymoor/fireflymoor/internal/ejector"
+	"github.com/fireflymoor/fireflymoor/internal/forwarder"
+	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/packer"
+	"github.com/fireflymoor/fireflymoor/internal/receiver"
+	"github.com/fireflymoor/fireflymoor/internal/registrar"
+	"github.com/fireflymoor/fireflymoor/internal/retrier"
+	"github.com/fireflymoor/fireflymoor/internal/shaper"
+	"github.com/fireflymoor/fireflymoor/internal/target"
+	"github.com/fireflymoor/fireflymoor/internal/tracker"
+)
+
+const (
+	// limitWindow is the span in which a target counts calls against its limit, and
+	// limitTolerance and limitSlack by how much they may exceed it.
+	limitWindow    = 4 * time.Second
+	limitTolerance = 1.5
+	limitSlack     = 5
+	// limitNotice is the time after its first statement in which a limit need not be kept.
+	limitNotice = time.Second
+)
+
+// statingTarget is a stand-in target that states a limit and that it is leaving.
+type statingTarget struct {
+	work time.Duration
+
+	lock     sync.Mutex
+	limit    string
+	leaving  bool
+	arrivals []time.Time
+}
+
+// ServeHTTP implements http.Handler.
+func (s *statingTarget) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	s.lock.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	s.lock.Unlock()
+	time.Sleep(s.work)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.limit != "" {
+		w.Header().Set(annotator.TargetLimit, s.limit)
+	}
+	if s.leaving {
+		w.Header().Set(annotator.TargetLeaving, "1")
+	}
+}
+
+func (s *statingTarget) state(limit string, leaving bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.limit = limit
+	s.leaving = leaving
+}
+
+// arrivedSince returns the times of the calls that arrived after a time.
+func (s *statingTarget) arrivedSince(from time.Time) []time.Time {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	var arrivals []time.Time
+	for _, at := range s.arrivals {
+		if at.After(from) {
+			arrivals = append(arrivals, at)
+		}
+	}
+	return arrivals
+}
+
+// mostInWindow returns the largest number of arrivals in a window.
+func mostInWindow(arrivals []time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range arrivals {
+		for at.Sub(arrivals[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// limitFleet is a fleet of nodes, of which the first ones have a target each.
+type limitFleet struct {
+	viewer     *fixedViewer
+	handlers   []http.Handler
+	registries []*target.Registry
+}
+
+// newLimitFleet returns a fleet of nodes.
+func newLimitFleet(t *testing.T, nodes int, targets ...*statingTarget) *limitFleet {
+	t.Helper()
+	configuration := fireflymoor.NewConfiguration("team",
+		[]fireflymoor.Service{{Name: "service", Slots: 100, Queue: 100}},
+		[]fireflymoor.Route{{
+			Name:       "route",
+			PathPrefix: "/",
+			Service:    "service",
+			Timeout:    2 * time.Second,
+			Objective:  500 * time.Millisecond,
+			Retries:    2,
+			Idempotent: []string{http.MethodGet},
+			MaxBody:    1 << 20,
+		}},
+		fireflymoor.Limits{RetryBudget: 20, EjectShare: 30}).WithNumber(1)
+	f := &limitFleet{
+		viewer: &fixedViewer{},
+	}
+	var known []fireflymoor.Target
+	for i := range nodes {
+		name := "node" + strconv.Itoa(i)
+		registry := target.NewRegistry(name, time.Hour, zerolog.Nop(), func([]*messenger.Target, []*messenger.Departure) {}, func(context.Context) error { return nil })
+		registry.Configure(configuration)
+		dial := dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry()))
+		local := target.NewServer(registry, annotator.NewDialect(), dial, shaper.New(0, prometheus.NewRegistry()))
+		pack := packer.New(name)
+		if i < len(targets) {
+			known = append(known, announceStating(t, registry, name, targets[i]))
+			known[i].Address = serveHandler(t, pack.Handler(receiver.New(func(uint64) bool { return true }, local, registrar.New(), zerolog.Nop())))
+		}
+		f.registries = append(f.registries, registry)
+		f.handlers = append(f.handlers, caller.New(caller.Options{
+			Node:         name,
+			Dialect:      annotator.NewDialect(),
+			Viewer:       f.viewer,
+			Balancer:     balancer.NewTwoChoices(),
+			EvenBalancer: balancer.NewEven(),
+			LocalLoad:    local.Load,
+			Forwarder:    forwarder.New(name, local, forwarder.NewRemote(dial, pack)),
+			Tracker:      tracker.New(name, "zone"),
+			Ejector:      ejector.New(),
+			Budget:       retrier.NewBudget(),
+			RefusalRate:  retrier.NewRefusalRate(),
+			Metrics:      caller.NewMetrics(prometheus.NewRegistry()),
+			Log:          zerolog.Nop(),
+		}))
+	}
+	f.viewer.view = fireflymoor.NewView(configuration, known)
+	return f
+}
+
+// announceStating announces a stand-in target at a node and returns it as other nodes
+// know it.
+func announceStating(t *testing.T, registry *target.Registry, node string, stating *statingTarget) fireflymoor.Target {
+	t.Helper()
+	server := httptest.NewServer(stating)
+	t.Cleanup(server.Close)
+	registry.Announce(target.Announcement{
+		ID:      "target",
+		Service: "service",
+		Address: server.Listener.Addr().String(),
+		Slots:   100,
+		Started: 1,
+	}, time.Now())
+	return fireflymoor.Target{
+		ID:      node + "/target",
+		Service: "service",
+		Node:    node,
+		Boot:    1,
+		Zone:    "zone",
+		Team:    "team",
+		Slots:   100,
+	}
+}
+
+// limitResult counts the responses to the calls of a press.
+type limitResult struct {
+	lock             sync.Mutex
+	answered, others int
+	// noDelay counts refusals that do not say when to return, and slowest is the
+	// longest time until a refusal.
+	noDelay int
+	slowest time.Duration
+}
+
+// press makes calls at a rate, at all nodes in turn, for a duration.
+func (f *limitFleet) press(perSecond float64, duration time.Duration) *limitResult {
+	result := &limitResult{}
+	var group sync.WaitGroup
+	began := time.Now()
+	for n := 0; ; n++ {
+		due := began.Add(time.Duration(float64(n) / perSecond * float64(time.Second)))
+		if due.Sub(began) >= duration {
+			break
+		}
+		time.Sleep(time.Until(due))
+		group.Go(func() {
+			w := httptest.NewRecorder()
+			called := time.Now()
+			f.handlers[n%len(f.handlers)].ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/x", http.NoBody))
+			result.add(w, time.Since(called))
+		})
+	}
+	group.Wait()
+	return result
+}
+
+func (r *limitResult) add(w *httptest.ResponseRecorder, took time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if w.Code == http.StatusOK {
+		r.answered++
+		return
+	}
+	r.others++
+	r.slowest = max(r.slowest, took)
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		r.noDelay++
+	}
+}
+
+// TestStatedLimit guards against targets that get more calls than the limit that they
+// state to all nodes together, and against fewer than they accept.
+func TestStatedLimit(t *testing.T) {
+	for _, limit := range []float64{0.3, 8, 20, 200} {
+		t.Run(strconv.FormatFloat(limit, 'f', -1, 64), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			stating := &statingTarget{
+				work: 50 * time.Millisecond,
+			}
+			f := newLimitFleet(t, 3, stating)
+			stating.state(strconv.FormatFloat(limit, 'f', -1, 64), false)
+			named := time.Now()
+			result := f.press(max(3*limit, 10), limitNotice+limitWindow+time.Second)
+			arrivals := stating.arrivedSince(named.Add(limitNotice))
+			most := mostInWindow(arrivals, limitWindow)
+			t.Logf("limit %v: %d calls in a window of 4 s; %d answered, %d refused, the slowest after %s", limit, most, result.answered, result.others, result.slowest)
+			is.True(most <= int(limitTolerance*limit*limitWindow.Seconds())+limitSlack)
+			is.True(float64(most) >= 0.8*limit*limitWindow.Seconds()-1)
+			is.Equal(result.noDelay, 0)                    // a refused call is told when to return
+			is.True(result.slowest < 500*time.Millisecond) // and at once
+		})
+	}
+}
+
+// TestSurplusOfLimitedTarget guards against calls that are refused for the limit of one
+// target although another one has room.
+func TestSurplusOfLimitedTarget(t *testing.T) {
+	is := is.New(t)
+	limited, other := &statingTarget{
+		work:  20 * time.Millisecond,
+		limit: "5",
+	}, &statingTarget{
+		work: 20 * time.Millisecond,
+	}
+	f := newLimitFleet(t, 3, limited, other)
+	began := time.Now()
+	result := f.press(50, limitNotice+limitWindow)
+	most := mostInWindow(limited.arrivedSince(began.Add(limitNotice)), limitWindow)
+	t.Logf("%d calls in 4 s at the limited target; %d answered, %d refused", most, result.answered, result.others)
+	is.True(most <= int(limitTolerance*5*limitWindow.Seconds())+limitSlack)
+	is.Equal(result.others, 0)
+}
+
+// TestEndOfLimit guards against a limit that outlasts its last statement.
+func TestEndOfLimit(t *testing.T) {
+	is := is.New(t)
+	stating := &statingTarget{
+		work:  20 * time.Millisecond,
+		limit: "2",
+	}
+	f := newLimitFleet(t, 2, stating)
+	f.press(20, 2*time.Second)
+	stating.state("", false)
+	f.press(20, 1500*time.Millisecond)
+	result := f.press(20, time.Second)
+	is.Equal(result.others, 0)
+}
+
+// TestLeavingTarget guards against calls to a target that has stated that it is leaving.
+func TestLeavingTarget(t *testing.T) {
+	is := is.New(t)
+	leaving, other := &statingTarget{
+		work: 20 * time.Millisecond,
+	}, &statingTarget{
+		work: 20 * time.Millisecond,
+	}
+	f := newLimitFleet(t, 3, leaving, other)
+	f.press(50, 500*time.Millisecond)
+	leaving.state("", true)
+	result := f.press(50, time.Second)
+	is.Equal(len(leaving.arrivedSince(time.Now().Add(-500*time.Millisecond))), 0)
+	is.Equal(result.others, 0)
+}
