internal/limiter: keep the rate of calls that a target states

Cause: no part of the system read the limit. Slots bound the calls in flight at a target, and nothing bounded their rate. Change: all calls of a target pass its node, so that one place can hold the sum. Its limiter now has a token bucket beside its slots. A call without a token waits in the same queue, by rank and share, if it is likely to begin in time, and is refused at once otherwise. Nested calls get at most every other token while others wait, as their usual bound, half of the slots, does not bind when few slots are in use. A token is given back if the call is not sent. A response without a limit ends it, unless its call was sent before the limit was last stated.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -98,8 +98,15 @@
 	// nested is the number of slots that nested calls hold.
 	nested int
 	// bulk is the number of slots that bulk calls hold.
-	bulk     int
-	draining bool
+	bulk int
+	// rate bounds the calls per second that get a slot.
+	rate rateLimit
+	// wake grants slots when the next token of the rate is there. It is nil if no call
+	// waits for one.
+	wake *time.Timer
+	// nestedLast is set if the last call that got a slot from the queue was nested.
+	nestedLast bool
+	draining   bool
 	// idle is closed when the limiter drains and its last call has ended.
 	idle chan struct{}
 }
@@ -125,6 +132,14 @@
 	l.grantSlots()
 }
 
+// SetRate sets how many calls per second get a slot, or no such bound if it is 0.
+func (l *Limiter) SetRate(perSecond float64) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.rate.set(perSecond, l.now())
+	l.grantSlots()
+}
+
 // Acquire acquires a slot, if necessary by waiting in the queue until ctx is
 // done. If it returns nil, the caller must call Release exactly once. Otherwise
 // it returns ErrFull, ErrDraining, ErrDeadline or a *fireflymoor.BusyError.
@@ -135,7 +150,8 @@
 		return ErrDraining
 	}
 	f := l.offer(ticket)
-	if l.inFlight < l.slots {
+	// While there is a rate, calls may wait although slots are free.
+	if l.inFlight < l.slots && len(l.waiting) == 0 && l.rate.take(l.now()) {
 		l.occupySlot(ticket.class())
 		l.grantAtOnce(f, ticket)
 		l.lock.Unlock()
@@ -185,6 +201,7 @@
 	}
 	err := <-w.result
 	if err == nil && ctx.Err() != nil {
+		l.rate.giveBack()
 		l.freeSlot(w.class)
 		return ErrDeadline
 	}
@@ -205,10 +222,11 @@
 }
 
 // Return frees the slot of a call that was not sent to the target, whose time says
-// nothing of how long calls hold a slot.
+// nothing of how long calls hold a slot, and which does not count towards the rate.
 func (l *Limiter) Return(ticket Ticket) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	l.rate.giveBack()
 	l.freeSlot(ticket.class())
 }
 
@@ -248,17 +266,23 @@
 	}
 }
 
-// grantSlots grants free slots to the waiting calls whose turn it is and refuses
-// calls whose hard deadline has passed.
+// grantSlots grants free slots, as far as the rate permits, to the waiting calls whose
+// turn it is and refuses calls whose hard deadline has passed.
 func (l *Limiter) grantSlots() {
 	now := l.now()
 	for l.inFlight < l.slots && len(l.waiting) > 0 {
+		if wait := l.rate.wait(1, now); wait > 0 {
+			l.wakeAfter(wait)
+			return
+		}
 		w := l.dequeue()
 		if hasPassed(w.hardDeadline, now) {
 			w.result <- &fireflymoor.BusyError{}
 			l.retag(w.flow)
 			continue
 		}
+		l.rate.take(now)
+		l.nestedLast = w.class == classNested
 		l.occupySlot(w.class)
 		if w.flow != nil {
 			w.flow.grant(w.start, w.cost)
@@ -267,6 +291,19 @@
 	}
 }
 
+// wakeAfter makes grantSlots run after a time, unless it will run earlier.
+func (l *Limiter) wakeAfter(wait time.Duration) {
+	if l.wake != nil {
+		return
+	}
+	l.wake = time.AfterFunc(wait, func() {
+		l.lock.Lock()
+		defer l.lock.Unlock()
+		l.wake = nil
+		l.grantSlots()
+	})
+}
+
 // Drain refuses new calls, and waiting calls that are not likely to begin while
 // the draining target still accepts work. The returned channel is closed once
 // all other calls have ended.
@@ -297,11 +334,11 @@
 }
 
 // Load returns the number of calls in flight and waiting as a multiple of the
-// number of slots. It is usually above 1 while calls wait.
+// number of slots. It is usually above 1 while calls wait, and at least 1 if the rate
+// admits no call at this moment.
 func (l *Limiter) Load() float64 {
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	return float64(l.inFlight+len(l.waiting)) / float64(max(l.slots, 1))
+	load, _ := l.Report(0)
+	return load
 }
 
 // Report returns the load without a number of calls that are about to end, and the
@@ -310,7 +347,8 @@
 func (l *Limiter) Report(ending int) (load float64, hold time.Duration) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	return float64(max(l.inFlight+len(l.waiting)-ending, 0)) / float64(max(l.slots, 1)), l.meanHold
+	load = float64(max(l.inFlight+len(l.waiting)-ending, 0)) / float64(max(l.slots, 1))
+	return max(load, l.rate.load(len(l.waiting), l.now())), l.meanHold
 }
 
 // InFlight returns the number of calls that hold a slot.
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -75,6 +75,7 @@
 	}
 	l.waiting = slices.Insert(l.waiting, position, w)
 	l.refuseLate(now, position+1)
+	l.grantSlots()
 	return w, nil
 }
 
@@ -123,20 +124,32 @@
 	return w
 }
 
-// grantsBefore returns how many of the calls ahead of a call get a slot before
-// it. For calls that are not nested it counts nested calls only up to their
-// limit.
+// grantsBefore returns how many calls get a slot before a call, given those ahead of
+// it. For calls that are not nested it counts nested calls only up to their limit.
 func (l *Limiter) grantsBefore(w *waiter, ahead []*waiter) int {
-	if w.rank < 0 {
+	switch {
+	case w.rank < 0 && l.rate.isSet():
+		return len(ahead) + min(len(ahead), countOthers(l.waiting))
+	case w.rank < 0:
 		return len(ahead)
 	}
+	others := countOthers(ahead)
+	nested := min(len(ahead)-others, l.maxNested())
+	if l.rate.isSet() {
+		nested = min(nested, others+1)
+	}
+	return others + nested
+}
+
+// countOthers returns how many of the calls are not nested.
+func countOthers(calls []*waiter) int {
 	others := 0
-	for _, a := range ahead {
-		if a.rank >= 0 {
+	for _, w := range calls {
+		if w.rank >= 0 {
 			others++
 		}
 	}
-	return others + min(len(ahead)-others, l.maxNested())
+	return others
 }
 
 // maxNested returns how many slots nested calls may hold while other calls wait.
@@ -145,9 +158,11 @@
 }
 
 // expectedWait returns how long a call at a position in the queue is likely to
-// wait.
+// wait for a slot and for the rate. The calls before it take the slots that are free.
 func (l *Limiter) expectedWait(position int) time.Duration {
-	return l.meanHold * time.Duration(position+1) / time.Duration(max(l.slots, 1))
+	before := max(position+1-max(l.slots-l.inFlight, 0), 0)
+	wait := l.meanHold * time.Duration(before) / time.Duration(max(l.slots, 1))
+	return max(wait, l.rate.wait(position+1, l.now()))
 }
 
 // refuseLate refuses the calls from a position on that are not likely to begin in
@@ -186,12 +201,13 @@
 }
 
 // dequeue removes and returns the call that gets the next slot: the first one whose
-// class does not hold its part of the slots, or else the first one.
+// class does not hold its part of the slots, or else the first one. While there is a
+// rate, nested calls get at most every other token, as they may hold few slots then.
 func (l *Limiter) dequeue() *waiter {
 	index := max(0, slices.IndexFunc(l.waiting, func(w *waiter) bool {
 		switch w.class {
 		case classNested:
-			return l.nested < l.maxNested()
+			return l.nested < l.maxNested() && !(l.rate.isSet() && l.nestedLast)
 		case classBulk:
 			return l.bulk < l.maxBulk()
 		}
--- a/internal/target/limit.go
+++ b/internal/target/limit.go
@@ -29,9 +29,9 @@
 
 // record records the limit in a response to a call that was sent at sentAt. A response
 // without a limit ends the limit only if its call was sent after the limit was last
-// stated, because responses over different connections overtake each other. It reports
-// whether the limit has changed.
-func (l *statedLimit) record(rate float64, sentAt, now time.Time) bool {
+// stated, because responses over different connections overtake each other. It calls
+// onChange, and returns true, if the limit has changed.
+func (l *statedLimit) record(rate float64, sentAt, now time.Time, onChange func(rate float64)) bool {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if rate == 0 && (l.rate == 0 || sentAt.Before(l.at)) {
@@ -40,6 +40,9 @@
 	changed := l.rate != rate
 	l.rate = rate
 	l.at = now
+	if changed {
+		onChange(rate)
+	}
 	return changed
 }
 
@@ -83,7 +86,7 @@
 		log.Warn().Str("target", t.id).Str("limit", notice.InvalidLimit).
 			Msg("target: the limit is no decimal number above 0 and is ignored")
 	}
-	if !t.limit.record(notice.Limit, sentAt, now) {
+	if !t.limit.record(notice.Limit, sentAt, now, t.limiter.SetRate) {
 		return
 	}
 	if t.limit.mayLogChange(notice.Limit == 0, now) {
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -147,11 +147,11 @@
 	started := time.Now()
 	s.metrics.observeWait(started.Sub(arrived))
 	if !s.registry.valid(t, started) {
-		t.limiter.Release(ticket, 0)
+		t.limiter.Return(ticket)
 		return nil, fireflymoor.NotRun, errors.Wrapf(ErrUnknown, "target %s: take a slot", target.ID)
 	}
 	if s.keyWithdrawn(keyID, configuration) {
-		t.limiter.Release(ticket, 0)
+		t.limiter.Return(ticket)
 		return nil, fireflymoor.NotRun, errors.Mark(errors.Wrapf(errKeyWithdrawn, "target %s: take a slot", target.ID), fireflymoor.ErrBusy)
 	}
 	if detector.HasLeft(ctx) {
