internal/target: stop calls to a target that states that it is leaving

Cause: only announcements and commands drained a target; nobody read the notice that it adds to its responses. Change: the target's node drains the target before it passes the response on, records that like a command to drain, so that other members keep it over a restart, and refuses all later calls. A node that dies before it could tell anyone forgets it. It therefore adds the target's start to the response, and the nodes that passed the response on repeat that with their calls to the target, by which a restarted node learns it, and tells it apart from a later start of the target. TestLeavingTargetAfterRestart fails without that.

--- a/internal/annotator/annotator.go
+++ b/internal/annotator/annotator.go
@@ -85,13 +85,17 @@
 	Tenant = "Fireflymoor-Tenant"
 	// KeyID is the id of the key with which a call was made.
 	KeyID = "Fireflymoor-Key-Id"
+	// Departed is the start of a target that has stated that it is leaving, in Unix
+	// milliseconds. The target's node adds it to the target's response, and nodes that
+	// have passed on such a response repeat it with calls to that target.
+	Departed = "Fireflymoor-Departed"
 	// Packed combines most of these headers and other headers in one header.
 	Packed = "Ffm"
 )
 
 var (
 	// internalHeaders are the headers between nodes.
-	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, MaxWait, Neighbor, Load, Tenant, KeyID, Bulk, Packed}
+	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, MaxWait, Neighbor, Load, Tenant, KeyID, Bulk, Departed, Packed}
 	// hopByHop are the headers that apply to a single connection only.
 	hopByHop = []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -113,12 +113,14 @@
 	// trySequence numbers the tries in the ids that targets' nodes see. It begins at
 	// a random number, as the nodes remember the tries of an earlier process.
 	trySequence atomic.Uint64
+	departures  *departures
 }
 
 // New returns a new Handler.
 func New(options Options) *Handler {
 	h := &Handler{
-		options: options,
+		options:    options,
+		departures: newDepartures(),
 	}
 	h.trySequence.Store(rand.Uint64N(maxInitialTry))
 	return h
@@ -305,6 +307,7 @@
 	end := h.options.Tracker.Begin(pick.Target, now)
 	c.request.Header.Set(annotator.TargetID, pick.Target.ID)
 	c.request.Body, c.request.ContentLength = c.body.reader()
+	annotator.SetOrRemove(c.request.Header, annotator.Departed, h.departures.started(pick.Target.ID, now))
 	c.setPriorityHeaders(now)
 	c.setTenantHeaders()
 	if c.route.Bulk {
@@ -326,6 +329,7 @@
 	} else {
 		h.options.Ejector.RecordSuccess(pick.Target.ID)
 	}
+	h.departures.record(pick.Target.ID, response.Header, time.Now())
 	h.options.Tracker.RecordResponse(pick.Target, c.route.Name, time.Since(now), time.Now())
 	if report, known := annotator.TakeLoadReport(response.Header); known {
 		h.recordReport(c, pick.Target, report)
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -48,6 +48,7 @@
 	annotator.Bulk:            'v',
 	annotator.MaxWait:         'm',
 	annotator.Neighbor:        'p',
+	annotator.Departed:        'x',
 	"Content-Type":            'y',
 	"Date":                    'z',
 	"User-Agent":              'h',
--- a/internal/runner/target_limit_test.go
+++ b/internal/runner/target_limit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -302,3 +303,37 @@
 	is.Equal(len(leaving.arrivedSince(time.Now().Add(-500*time.Millisecond))), 0)
 	is.Equal(result.others, 0)
 }
+
+// restart replaces the node of the first target by a process that knows nothing of before.
+func (f *limitFleet) restart(t *testing.T, stating *statingTarget) {
+	t.Helper()
+	restarted := newLimitFleet(t, 1, stating)
+	targets := slices.Clone(f.viewer.view.Targets("service"))
+	targets[0].Address = restarted.viewer.view.Targets("service")[0].Address
+	targets[0].Boot++
+	f.viewer.view = f.viewer.view.WithTargets(targets)
+}
+
+// TestLeavingTargetAfterRestart guards against calls to a leaving target whose node has
+// restarted and forgotten that. The nodes that have passed on what the target stated have
+// not.
+func TestLeavingTargetAfterRestart(t *testing.T) {
+	is := is.New(t)
+	leaving, other := &statingTarget{
+		work: 20 * time.Millisecond,
+	}, &statingTarget{
+		work: 20 * time.Millisecond,
+	}
+	f := newLimitFleet(t, 3, leaving, other)
+	f.handlers = f.handlers[2:] // one caller's node, which passes on what the target states
+	var group sync.WaitGroup
+	group.Go(func() { f.press(100, 500*time.Millisecond) })
+	time.Sleep(250 * time.Millisecond)
+	leaving.state("", true)
+	group.Wait()
+	f.restart(t, leaving)
+	restarted := time.Now()
+	result := f.press(50, time.Second)
+	is.Equal(len(leaving.arrivedSince(restarted)), 0)
+	is.Equal(result.others, 0)
+}
--- a/internal/target/limit.go
+++ b/internal/target/limit.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -8,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
-	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/annotator"
 )
 
 // limitLogInterval is the minimum time between two log lines about changes of a
@@ -78,9 +79,17 @@
 }
 
 // observeNotice records what a target stated in a response to a call that was sent at
-// sentAt.
-func (s *Server) observeNotice(t *localTarget, notice fireflymoor.Notice, sentAt time.Time) {
+// sentAt. A target that is leaving gets no call after the response has been passed on.
+func (s *Server) observeNotice(t *localTarget, response http.Header, sentAt time.Time) {
+	notice := s.dialect.ReadNotice(response)
 	now := time.Now()
+	response.Del(annotator.Departed)
+	if notice.Leaving {
+		s.registry.drainLeaving(t, "stated in a response")
+		if t.started > 0 {
+			response.Set(annotator.Departed, strconv.FormatInt(t.started, 10))
+		}
+	}
 	log := s.registry.log
 	if notice.InvalidLimit != "" && t.limit.mayWarn() {
 		log.Warn().Str("target", t.id).Str("limit", notice.InvalidLimit).
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -54,9 +54,10 @@
 
 // localTarget is an announced target of this instance.
 type localTarget struct {
-	// id and address do not change. Calls read them without the registry's lock, which
-	// the announcement requires.
+	// id, address and started do not change. Calls read them without the registry's
+	// lock, which the announcement requires.
 	id, address  string
+	started      int64
 	announcement Announcement
 	limiter      *limiter.Limiter
 	draining     bool
@@ -198,6 +199,7 @@
 	t := &localTarget{
 		id:           a.ID,
 		address:      a.Address,
+		started:      a.Started,
 		announcement: a,
 		limiter:      limiter.New(r.slots(a), r.queue(a)),
 	}
@@ -377,6 +379,19 @@
 	return r.drain(id)
 }
 
+// drainLeaving drains a target that has stated that it is leaving, unless it is no
+// longer announced.
+func (r *Registry) drainLeaving(t *localTarget, source string) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	rec := r.records[t.id]
+	if r.targets[t.id] != t || t.draining && rec != nil && rec.draining {
+		return
+	}
+	r.log.Info().Str("target", t.id).Str("source", source).Msg("target: leaving")
+	r.drainForGood(t.id)
+}
+
 // countNotice counts a notice that is to be secured.
 func (r *Registry) countNotice(rec *record) {
 	if rec.started > 0 {
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -133,6 +133,9 @@
 	if err != nil {
 		return nil, fireflymoor.NotRun, errors.Wrapf(err, "target %s: find", target.ID)
 	}
+	if departed, err := strconv.ParseInt(in.Header.Get(annotator.Departed), 10, 64); err == nil && t.started <= departed {
+		s.registry.drainLeaving(t, "known to the node of a caller")
+	}
 	configuration := s.registry.current()
 	ticket := readTicket(in.Header, configuration)
 	keyID := in.Header.Get(annotator.KeyID)
@@ -241,7 +244,7 @@
 	}
 	verdict := s.dialect.ReadResponse(out.Header, response.Header, response.StatusCode)
 	if verdict.Err == nil {
-		s.observeNotice(t, s.dialect.ReadNotice(response.Header), sentAt)
+		s.observeNotice(t, response.Header, sentAt)
 	}
 	t.own.record(verdict.Load, time.Now())
 	if verdict.Err == nil && !verdict.NotRun {
