internal/tracker: choose targets by the limits that they state

What callers saw: calls were sent to targets whose limit did not admit them, came back and went elsewhere; and after a restart of a target's node, calls above the limit until the target answered the first one. Cause: only the target's node knew the limit, and only from responses to its own process. Evidence: TestLimitAfterRestart fails if callers' nodes do not repeat the limit that they know: of 20 calls in a second, more than the 8 that a limit of 0.5 allows reach the target. Change: nodes read the limit from the responses that they pass on and from refusals. A limited target counts as one with as many slots as calls of that rate hold, so that the two balancers send the surplus where there is room, and is passed over for as long as a refused call would have waited. Nodes repeat the limit with their calls, and the target's node uses it until the target's first response.

--- a/internal/annotator/annotator.go
+++ b/internal/annotator/annotator.go
@@ -85,6 +85,9 @@
 	Tenant = "Fireflymoor-Tenant"
 	// KeyID is the id of the key with which a call was made.
 	KeyID = "Fireflymoor-Key-Id"
+	// Limit is the limit that a target states, in calls per second. A target's node
+	// adds it to refusals, and other nodes repeat it with calls to that target.
+	Limit = "Fireflymoor-Limit"
 	// Departed is the start of a target that has stated that it is leaving, in Unix
 	// milliseconds. The target's node adds it to the target's response, and nodes that
 	// have passed on such a response repeat it with calls to that target.
@@ -95,7 +98,7 @@
 
 var (
 	// internalHeaders are the headers between nodes.
-	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, MaxWait, Neighbor, Load, Tenant, KeyID, Bulk, Departed, Packed}
+	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, MaxWait, Neighbor, Load, Tenant, KeyID, Bulk, Limit, Departed, Packed}
 	// hopByHop are the headers that apply to a single connection only.
 	hopByHop = []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
@@ -232,6 +235,20 @@
 	return report, true
 }
 
+// SetLimit writes the limit of a target to the header, or removes it if it is 0.
+func SetLimit(h http.Header, rate float64) {
+	if rate == 0 {
+		h.Del(Limit)
+		return
+	}
+	h.Set(Limit, strconv.FormatFloat(rate, 'g', -1, 64))
+}
+
+// ReadLimit reads the limit of a target, or returns 0 if there is none.
+func ReadLimit(h http.Header) float64 {
+	return ParseNotice(h[Limit], nil).Limit
+}
+
 // SetMilliseconds writes a duration in milliseconds to the named header.
 func SetMilliseconds(h http.Header, name string, d time.Duration) {
 	h.Set(name, strconv.FormatInt(d.Milliseconds(), 10))
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -150,10 +150,11 @@
 	return chosen
 }
 
-// isFull reports whether a target counts as full by what is known of it.
+// isFull reports whether a target counts as full by what is known of it. The wait for
+// the rate of a limited target is no short one.
 func isFull(c *fireflymoor.Candidate) bool {
 	limit := fullLoad
-	if c.SameZone {
+	if c.SameZone && !c.Limited {
 		limit = localFullLoad
 	}
 	return utilization(c) >= limit
@@ -162,7 +163,15 @@
 // utilization returns the known fraction of a target's slots in use. It may exceed
 // 1.
 func utilization(c *fireflymoor.Candidate) float64 {
-	return max(float64(c.InFlight)/float64(max(c.Target.Slots, 1)), c.Load)
+	return max(float64(c.InFlight)/capacity(c), c.Load)
+}
+
+// capacity returns how many slots of a target calls can use.
+func capacity(c *fireflymoor.Candidate) float64 {
+	if c.Capacity > 0 {
+		return c.Capacity
+	}
+	return float64(max(c.Target.Slots, 1))
 }
 
 // relativeDelay returns how long a call takes at a target as a multiple of the
@@ -175,7 +184,7 @@
 // cost returns the estimated time of one more call at a target as a multiple of the
 // usual time. It is the target's slowness times the calls that share its slots.
 func cost(c *fireflymoor.Candidate) float64 {
-	share := float64(c.InFlight+1) / float64(max(c.Target.Slots, 1))
+	share := float64(c.InFlight+1) / capacity(c)
 	return c.Slowness * share * (1 + c.Load) / max(c.Weight, minWeight)
 }
 
--- a/internal/balancer/even.go
+++ b/internal/balancer/even.go
@@ -101,7 +101,8 @@
 
 // hasFreeSlot reports whether a slot of a target is expected to be free.
 func hasFreeSlot(c *fireflymoor.Candidate) bool {
-	slots := float64(max(c.Target.Slots, 1))
+	// A limited target may use less than one slot, and has room nevertheless.
+	slots := max(capacity(c), 1)
 	return c.Utilization*slots < slots-0.5
 }
 
@@ -140,7 +141,7 @@
 		if c.SameZone != local || slices.Contains(sampled, i) {
 			continue
 		}
-		rate := float64(max(c.Target.Slots, 1)) / weightedHold(c)
+		rate := capacity(c) / weightedHold(c)
 		total += rate
 		if rand.Float64()*total < rate {
 			chosen = i
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -308,6 +308,7 @@
 	c.request.Header.Set(annotator.TargetID, pick.Target.ID)
 	c.request.Body, c.request.ContentLength = c.body.reader()
 	annotator.SetOrRemove(c.request.Header, annotator.Departed, h.departures.started(pick.Target.ID, now))
+	annotator.SetLimit(c.request.Header, h.options.Tracker.Limit(pick.Target, now))
 	c.setPriorityHeaders(now)
 	c.setTenantHeaders()
 	if c.route.Bulk {
@@ -329,6 +330,7 @@
 	} else {
 		h.options.Ejector.RecordSuccess(pick.Target.ID)
 	}
+	h.options.Tracker.RecordLimit(pick.Target, h.options.Dialect.ReadNotice(response.Header).Limit, now, time.Now())
 	h.departures.record(pick.Target.ID, response.Header, time.Now())
 	h.options.Tracker.RecordResponse(pick.Target, c.route.Name, time.Since(now), time.Now())
 	if report, known := annotator.TakeLoadReport(response.Header); known {
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -50,6 +50,10 @@
 // reports nothing.
 func (h *Handler) recordRefusal(c *call, target fireflymoor.Target, err error) {
 	busy := &fireflymoor.BusyError{}
+	if errors.As(err, &busy) && busy.Limit > 0 {
+		h.options.Tracker.RecordLimit(target, busy.Limit, time.Now(), time.Now())
+		h.options.Tracker.RecordLimitRefusal(target, busy.Wait, time.Now())
+	}
 	if !errors.As(err, &busy) || busy.Report == nil || c.view.Configuration().Limits().Balance <= fireflymoor.BalanceTwoChoices {
 		h.options.Tracker.RecordRefusal(target, time.Now())
 		return
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -340,6 +340,7 @@
 func refusalError(header http.Header, reason string) error {
 	busy := &fireflymoor.BusyError{
 		Wait:     annotator.Milliseconds(header, annotator.Wait),
+		Limit:    annotator.ReadLimit(header),
 		Neighbor: header.Get(annotator.Neighbor),
 	}
 	if report, ok := annotator.TakeLoadReport(header); ok {
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -49,6 +49,7 @@
 	annotator.MaxWait:         'm',
 	annotator.Neighbor:        'p',
 	annotator.Departed:        'x',
+	annotator.Limit:           'f',
 	"Content-Type":            'y',
 	"Date":                    'z',
 	"User-Agent":              'h',
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -180,6 +180,7 @@
 	busy := &fireflymoor.BusyError{}
 	if errors.As(err, &busy) {
 		annotator.SetMilliseconds(header, annotator.Wait, busy.Wait)
+		annotator.SetLimit(header, busy.Limit)
 		if busy.Report != nil {
 			annotator.SetLoadReport(header, *busy.Report)
 		}
--- a/internal/runner/target_limit_test.go
+++ b/internal/runner/target_limit_test.go
@@ -337,3 +337,21 @@
 	is.Equal(len(leaving.arrivedSince(restarted)), 0)
 	is.Equal(result.others, 0)
 }
+
+// TestLimitAfterRestart guards against a burst at a limited target whose node has
+// restarted and forgotten the limit, until the target answers the first call. The nodes
+// that have passed on the limit have not.
+func TestLimitAfterRestart(t *testing.T) {
+	is := is.New(t)
+	limited := &statingTarget{
+		work:  time.Second,
+		limit: "0.5",
+	}
+	f := newLimitFleet(t, 2, limited)
+	f.handlers = f.handlers[1:]
+	f.press(4, 2*time.Second)
+	f.restart(t, limited)
+	restarted := time.Now()
+	f.press(20, time.Second)
+	is.True(len(limited.arrivedSince(restarted)) <= int(limitTolerance*0.5*limitWindow.Seconds())+limitSlack)
+}
--- a/internal/target/limit.go
+++ b/internal/target/limit.go
@@ -24,6 +24,9 @@
 	// at is when a response last stated the limit.
 	at       time.Time
 	loggedAt time.Time
+	// known is set once a response of the target has come. Before that, the limit is
+	// the one that other nodes know.
+	known bool
 	// warned is set once an invalid limit was logged.
 	warned bool
 }
@@ -35,6 +38,7 @@
 func (l *statedLimit) record(rate float64, sentAt, now time.Time, onChange func(rate float64)) bool {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	l.known = true
 	if rate == 0 && (l.rate == 0 || sentAt.Before(l.at)) {
 		return false
 	}
@@ -47,6 +51,18 @@
 	return changed
 }
 
+// adopt takes over a limit that another node knows, as long as the target has sent no
+// response to this process. The target's first response replaces it.
+func (l *statedLimit) adopt(rate float64, onChange func(rate float64)) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if rate == 0 || l.known || l.rate == rate {
+		return
+	}
+	l.rate = rate
+	onChange(rate)
+}
+
 // state returns the limit, or 0 if there is none, and when it was last stated.
 func (l *statedLimit) state() (rate float64, at time.Time) {
 	l.lock.Lock()
--- a/internal/target/report.go
+++ b/internal/target/report.go
@@ -81,7 +81,11 @@
 // its next choice.
 func (s *Server) addReport(t *localTarget, err error) {
 	busy := &fireflymoor.BusyError{}
-	if !errors.As(err, &busy) || !t.isEven(s.registry.balance()) {
+	if !errors.As(err, &busy) {
+		return
+	}
+	busy.Limit, _ = t.limit.state()
+	if !t.isEven(s.registry.balance()) {
 		return
 	}
 	report := t.report(0, time.Now())
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -136,6 +136,7 @@
 	if departed, err := strconv.ParseInt(in.Header.Get(annotator.Departed), 10, 64); err == nil && t.started <= departed {
 		s.registry.drainLeaving(t, "known to the node of a caller")
 	}
+	t.limit.adopt(annotator.ReadLimit(in.Header), t.limiter.SetRate)
 	configuration := s.registry.current()
 	ticket := readTicket(in.Header, configuration)
 	keyID := in.Header.Get(annotator.KeyID)
--- a/internal/tracker/report.go
+++ b/internal/tracker/report.go
@@ -89,7 +89,7 @@
 		if now.UnixNano()-e.report.at.Load() > int64(freeTTL) {
 			continue
 		}
-		if u := e.utilization(targets[i].Slots, now); u < lowest {
+		if u := e.utilization(e.capacity(targets[i].Slots, now), now); u < lowest && !e.limit.isRefusing(now) {
 			free, id, lowest = e, targets[i].ID, u
 		}
 	}
@@ -121,12 +121,12 @@
 	return math.Exp(-max(float64(now.UnixNano()-at), 0) / lifetime)
 }
 
-// utilization returns the expected utilization of the target's slots. After the
+// utilization returns the expected utilization of a target's capacity. After the
 // time for which a call holds a slot, most calls that a report counted have ended.
-func (e *entry) utilization(slots int, now time.Time) float64 {
+func (e *entry) utilization(capacity float64, now time.Time) float64 {
 	mean := e.zone.current(now)
 	expected := mean + (e.report.load.load()-mean)*e.report.retained(e.zone.meanHold(), now)
-	return expected + float64(max(e.report.picks.Load(), 0))/float64(max(slots, 1))
+	return expected + float64(max(e.report.picks.Load(), 0))/capacity
 }
 
 // relativeHold returns how long calls hold a slot of the target, as a multiple of
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -42,6 +42,8 @@
 	// reported has the names of the services of which a report was recorded.
 	reported  sync.Map
 	baselines *baselines
+	// limits maps the id of a target to its *limit.
+	limits sync.Map
 }
 
 type key struct {
@@ -65,6 +67,8 @@
 	// call began while no other was in flight, whichever is later.
 	progressAt atomic.Int64
 	report     report
+	// limit outlives the entry, as it is the target's and not that of its node's boot.
+	limit *limit
 }
 
 // New returns a new Tracker for the proxy of a node in an availability zone.
@@ -96,6 +100,7 @@
 	e, _ := t.entries.LoadOrStore(k, &entry{
 		firstSeen: now,
 		zone:      t.zoneLoadOf(target),
+		limit:     t.limitOf(target.ID),
 	})
 	return e.(*entry)
 }
@@ -183,6 +188,12 @@
 	if now.UnixNano()-e.loadAt.Load() < int64(loadTTL) {
 		load = math.Float64frombits(e.load.Load())
 	}
+	capacity := e.capacity(target.Slots, now)
+	utilization := e.utilization(capacity, now)
+	if e.limit.isRefusing(now) {
+		load = refusalLoad
+		utilization = max(utilization, 1)
+	}
 	weight := 1.0
 	if age := now.Sub(e.firstSeen); age < slowStart {
 		weight = float64(age) / float64(slowStart)
@@ -194,7 +205,9 @@
 		ZoneLoad:     e.zone.current(now),
 		ZoneFull:     e.zone.full.load(),
 		Slowness:     e.currentSlowness(now),
-		Utilization:  e.utilization(target.Slots, now),
+		Utilization:  utilization,
+		Capacity:     capacity,
+		Limited:      e.limit.current(now) > 0,
 		RelativeHold: e.relativeHold(now),
 		Stalled:      e.stalled(now),
 		Weight:       weight,
@@ -223,6 +236,7 @@
 		}
 		return true
 	})
+	t.retainLimits(keep, time.Now())
 	t.zones.Range(func(k, _ any) bool {
 		if !zones[k.(zoneKey)] {
 			t.zones.Delete(k)
--- a/outcome.go
+++ b/outcome.go
@@ -27,6 +27,9 @@
 	Wait time.Duration
 	// Report is the load of the target, or nil if the node does not report it.
 	Report *LoadReport
+	// Limit is the limit that the target states, in calls per second, or 0 if it states
+	// none.
+	Limit float64
 	// Neighbor is the id of a target that the node knows to have a free slot, or empty.
 	Neighbor string
 }
--- a/view.go
+++ b/view.go
@@ -108,6 +108,11 @@
 	// ZoneFull is the share of the recent reports of targets of the same service and
 	// availability zone by which all their slots were in use.
 	ZoneFull float64
+	// Capacity is how many slots of the target calls can use. It is less than its
+	// slots if the target states a limit of its rate, and 0 if it is not known.
+	Capacity float64
+	// Limited is set if the target states a limit of its rate.
+	Limited bool
 	// Slowness is the recent latency of this proxy's calls at the target, as a
 	// multiple of the usual latency on their routes. It is 1 if it is unknown.
 	Slowness float64
