internal/caller: let refused calls return when a limit admits them

What callers saw: of a service whose targets state a limit of 0.3 calls a second, callers were told to return after 40 to 100 ms, 30 times or more before the next call is admitted. Cause: the delay followed from the route's objective alone. Change: the delay is at least the time between two calls at the highest limit of the targets that refused the call, as far as a third of the caller's time allows, and spread out.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -153,6 +153,9 @@
 	// mayRedirect is set if the node of the target of the current try may send the
 	// call back instead of letting it wait.
 	mayRedirect bool
+	// limitInterval is the shortest time between two calls at the limit of a target that
+	// refused the call, or 0 if none of them has a limit.
+	limitInterval time.Duration
 	// neighbor is the id of the target that the node of a full target has named, or
 	// empty.
 	neighbor string
@@ -274,7 +277,7 @@
 		status := failureStatus(ctx, c, outcome, err)
 		retryAfter := time.Duration(0)
 		if status != http.StatusUnauthorized {
-			retryAfter = retryDelay(ctx, c.route, outcome)
+			retryAfter = retryDelay(ctx, c.route, outcome, c.limitInterval)
 		}
 		h.options.Metrics.countTenant(c.identity.tenant.Name, outcome.String())
 		h.refuseWithDelay(w, c.id, status, outcome, callerReason(ctx, c, outcome, err), err.Error(), retryAfter)
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -51,6 +51,7 @@
 func (h *Handler) recordRefusal(c *call, target fireflymoor.Target, err error) {
 	busy := &fireflymoor.BusyError{}
 	if errors.As(err, &busy) && busy.Limit > 0 {
+		c.recordLimit(busy.Limit)
 		h.options.Tracker.RecordLimit(target, busy.Limit, time.Now(), time.Now())
 		h.options.Tracker.RecordLimitRefusal(target, busy.Wait, time.Now())
 	}
@@ -64,6 +65,14 @@
 	c.neighbor = busy.Neighbor
 }
 
+// recordLimit records the limit, in calls per second, of a target that refused the call.
+func (c *call) recordLimit(rate float64) {
+	interval := time.Duration(min(1/rate, time.Hour.Seconds()) * float64(time.Second))
+	if c.limitInterval == 0 || interval < c.limitInterval {
+		c.limitInterval = interval
+	}
+}
+
 // respond sends a target's response to the caller.
 func (h *Handler) respond(ctx context.Context, w http.ResponseWriter, c *call, response *http.Response) {
 	if c.grant != nil {
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -67,8 +67,10 @@
 }
 
 // retryDelay returns how long the caller of a call that was not run should wait
-// before it retries. It returns 0 for other outcomes and if no time is left.
-func retryDelay(ctx context.Context, route fireflymoor.Route, outcome fireflymoor.Outcome) time.Duration {
+// before it retries. It returns 0 for other outcomes and if no time is left. If the
+// call was refused by targets with limits, that is at least limitInterval, the time
+// after which one of them admits another call, as far as there is time.
+func retryDelay(ctx context.Context, route fireflymoor.Route, outcome fireflymoor.Outcome, limitInterval time.Duration) time.Duration {
 	deadline, ok := ctx.Deadline()
 	if outcome != fireflymoor.NotRun || !ok {
 		return 0
@@ -77,11 +79,16 @@
 	if timeLeft <= 0 {
 		return 0
 	}
-	latest := timeLeft / timeLeftDivisor
+	bound := timeLeft / timeLeftDivisor
+	latest := bound
 	if route.Objective > 0 {
 		latest = min(latest, route.Objective/maxDelayDivisor)
 	}
 	earliest := latest * maxDelayDivisor / minDelayDivisor
+	if limitInterval > 0 {
+		earliest = min(max(earliest, limitInterval), bound/2) // spread out, also at the bound
+		latest = min(max(latest, 2*earliest), bound)
+	}
 	return earliest + time.Duration(rand.Int64N(int64(latest-earliest)+1))
 }
 
