cmd/fireflybench: let targets of the soak state limits

Two of the soak's targets now state limits of 20 and 0.5 calls a second throughout, under all faults, and write an invariant line if they get more in 4 s than a half above that and 5 calls. A target that was suspended begins its check anew, as it gets the calls of that time at once.

--- a/cmd/fireflybench/fleet.go
+++ b/cmd/fireflybench/fleet.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 
@@ -70,6 +71,8 @@
 	// call takes targetDelay.
 	targetsAsProcesses bool
 	targetDelay        time.Duration
+	// limits has the calls per second that the first targets state to accept.
+	limits []float64
 	// keyWindow is how long idempotency keys are stored, or 0 for the default.
 	keyWindow time.Duration
 }
@@ -182,7 +185,11 @@
 	}
 	f.nodes = append(f.nodes, node)
 	if shape.targetsAsProcesses {
-		target, err := f.StartTarget(node, serviceName(i%shape.services), targetSlots, shape.targetDelay)
+		var options []string
+		if i < len(shape.limits) {
+			options = []string{"--limit", strconv.FormatFloat(shape.limits[i], 'f', -1, 64)}
+		}
+		target, err := f.StartTarget(node, serviceName(i%shape.services), targetSlots, shape.targetDelay, options...)
 		f.targetProcesses = append(f.targetProcesses, target)
 		return err
 	}
--- a/cmd/fireflybench/main.go
+++ b/cmd/fireflybench/main.go
@@ -34,6 +34,7 @@
 	Slots   int           `default:"20" help:"Calls served concurrently."`
 	Delay   time.Duration `default:"0s" help:"Time that each call takes."`
 	Runs    string        `help:"File to which a line is appended for each call that runs."`
+	Limit   float64       `help:"Calls per second that the target accepts, as it states and checks, or 0."`
 }
 
 // Run runs the command.
@@ -46,6 +47,7 @@
 		Slots:   c.Slots,
 		Delay:   c.Delay,
 		Runs:    c.Runs,
+		Limit:   c.Limit,
 	})
 	if err != nil {
 		return errors.Wrap(err, "target")
--- a/cmd/fireflybench/soak.go
+++ b/cmd/fireflybench/soak.go
@@ -51,6 +51,9 @@
 	operatorCount = 2
 )
 
+// soakLimits are the limits, in calls per second, that the first targets state and check.
+var soakLimits = []float64{20, 0.5}
+
 // soakResult is the result of a run.
 type soakResult struct {
 	Seed       uint64         `json:"seed"`
@@ -96,6 +99,7 @@
 		level:              "info",
 		targetsAsProcesses: true,
 		targetDelay:        soakTargetDelay,
+		limits:             soakLimits,
 
 		keyWindow: keyWindow,
 		relay: func(listen, to string) error {
@@ -259,7 +263,7 @@
 
 // checkLogs adds the violations that the processes logged.
 func (r *soak) checkLogs() {
-	for _, p := range slices.Concat(r.fleet.controls, r.fleet.nodes) {
+	for _, p := range slices.Concat(r.fleet.controls, r.fleet.nodes, r.fleet.targetProcesses) {
 		r.result.Violations = append(r.result.Violations, auditor.CheckLog(p)...)
 	}
 }
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -319,7 +319,7 @@
 }
 
 // StartTarget starts a stand-in target beside a node.
-func (c *Cluster) StartTarget(node *Process, service string, slots int, delay time.Duration) (*Process, error) {
+func (c *Cluster) StartTarget(node *Process, service string, slots int, delay time.Duration, options ...string) (*Process, error) {
 	p := &Process{
 		Name:    node.Name + "-target",
 		IP:      node.IP,
@@ -333,6 +333,7 @@
 		},
 		logPath: filepath.Join(c.spec.Folder, node.Name+"-target.log"),
 	}
+	p.arguments = append(p.arguments, options...)
 	return p, c.launch(p)
 }
 
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -12,12 +12,14 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflymoor/fireflymoor"
+	"github.com/fireflymoor/fireflymoor/internal/annotator"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 )
 
@@ -53,10 +55,14 @@
 	// Runs is the path of a file to which a line is appended for each call that
 	// runs, or empty.
 	Runs string
+	// Limit is how many calls per second the target accepts, as it states in its
+	// responses and checks, or 0 if it states no limit.
+	Limit float64
 }
 
 type responder struct {
 	options  Options
+	limit    *limitChecker
 	listener net.Listener
 	runs     io.WriteCloser
 	runsLock sync.Mutex
@@ -79,6 +85,9 @@
 			return nil, errors.CombineErrors(errors.Wrap(err, "responder: open the file of runs"), listener.Close())
 		}
 	}
+	if options.Limit > 0 {
+		r.limit = newLimitChecker(options.Limit, os.Stderr, time.Now())
+	}
 	r.server = &http.Server{
 		Handler:           r,
 		ReadHeaderTimeout: announceTimeout * 10,
@@ -93,6 +102,9 @@
 	group.Go(func() {
 		_ = r.server.Serve(r.listener)
 	})
+	if r.limit != nil {
+		group.Go(func() { r.watch(ctx) })
+	}
 	r.announce(ctx)
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
@@ -106,6 +118,20 @@
 	return errors.Wrap(err, "responder: stop")
 }
 
+// watch notes for the check of the limit that the process runs, until ctx ends.
+func (r *responder) watch(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.limit.tick(now)
+		}
+	}
+}
+
 // announce announces the target to its node repeatedly until ctx ends.
 func (r *responder) announce(ctx context.Context) {
 	body, err := json.Marshal(target.Announcement{
@@ -149,6 +175,10 @@
 // ServeHTTP implements http.Handler. It responds with the call's name and path
 // and then the call's body.
 func (r *responder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if r.limit != nil {
+		r.limit.arrive(time.Now())
+		w.Header().Set(annotator.TargetLimit, strconv.FormatFloat(r.options.Limit, 'f', -1, 64))
+	}
 	call := request.Header.Get(CallHeader)
 	r.recordRun(call)
 	body, err := io.ReadAll(io.LimitReader(request.Body, maxBodyBytes))
