internal/sender: refuse responses with an invalid status

What callers saw: a target in trouble responds with the status 000, 099 or +20. Without a body the call waited until its deadline; with a body that holds a response, that was passed on as the target's. 600, 999 and an unasked 101 were passed on. Cause: all numbers below 200 but 101 counted as informational responses, which are skipped with their heads, and http.ReadResponse accepts signs and any number of three characters. Evidence: 16 of the 16 variants of TestInvalidStatus failed: 6 as the smuggled 200, 6 as 101, 600 or 999, and 4 waited for the deadline. Change: a first digit other than 1 to 5, a 101, and an informational response with a body end the call with an unknown outcome, and the connection. Measured: all variants hold, and informational responses are still skipped.

--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -222,12 +222,32 @@
 			}
 			return nil, errors.Wrap(err, "sender: read the answer")
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if err := checkStatus(response); err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
 }
 
+// checkStatus returns an error if a status is not valid (RFC 9110, section 15), if it
+// switches to another protocol, which no request asks for, or if an informational
+// response has a body. What follows such a head cannot be told apart from another
+// response. http.ReadResponse accepts signs and all numbers of three characters.
+func checkStatus(response *http.Response) error {
+	first := response.Status[0]
+	switch {
+	case first < '1' || first > '5', response.StatusCode == http.StatusSwitchingProtocols:
+		return errors.Newf("sender: the answer has the invalid status %q", response.Status)
+	case response.StatusCode >= http.StatusOK:
+		return nil
+	case response.Header.Get("Content-Length") != "", len(response.TransferEncoding) > 0:
+		return errors.Newf("sender: the informational answer %q has a body", response.Status)
+	}
+	return nil
+}
+
 // isIdle reports whether the connection can carry another request: the last
 // request was written completely, and no data is buffered after its response.
 func (c *conn) isIdle() bool {
