internal/target: count calls that a limit turns away

For the engineer on call: refusals at the target's node, tries that came back, and limits that a node knows are counted, and the reason of a refusal names the limit. A target that announces other slots or another version keeps its limit; before, it was forgotten until its next response.

--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -35,6 +35,7 @@
 	claims      *prometheus.CounterVec
 	picks       *prometheus.CounterVec
 	departed    *prometheus.CounterVec
+	limited     prometheus.Counter
 	duration    prometheus.Histogram
 }
 
@@ -66,13 +67,17 @@
 			Name: "fireflymoor_departed_callers_total",
 			Help: "Calls whose callers left before their answer, by where the calls were then.",
 		}, []string{"stage"}),
+		limited: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "fireflymoor_limited_tries_total",
+			Help: "Tries that came back from targets that state a limit, as they would have waited there.",
+		}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "fireflymoor_call_seconds",
 			Help:    "Time from a call's arrival to the head of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
 		}),
 	}
-	registry.MustRegister(m.calls, m.tenantCalls, m.failedTries, m.claims, m.picks, m.departed, m.duration)
+	registry.MustRegister(m.calls, m.tenantCalls, m.failedTries, m.claims, m.picks, m.departed, m.limited, m.duration)
 	return m
 }
 
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -52,6 +52,7 @@
 	busy := &fireflymoor.BusyError{}
 	if errors.As(err, &busy) && busy.Limit > 0 {
 		c.recordLimit(busy.Limit)
+		h.options.Metrics.limited.Inc()
 		h.options.Tracker.RecordLimit(target, busy.Limit, time.Now(), time.Now())
 		h.options.Tracker.RecordLimitRefusal(target, busy.Wait, time.Now())
 	}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -150,7 +150,7 @@
 		Team:        settings.Team,
 		CallAddress: settings.AdvertisedCalls,
 	}, n)
-	n.registry.MustRegister(n.targets)
+	n.registry.MustRegister(n.targets, n.tracker)
 	n.initServers()
 	return n, nil
 }
--- a/internal/target/metrics.go
+++ b/internal/target/metrics.go
@@ -18,6 +18,7 @@
 	sentBack *prometheus.CounterVec
 	departed *prometheus.CounterVec
 	sent     *prometheus.CounterVec
+	refused  prometheus.Counter
 }
 
 // NewMetrics returns new Metrics that are registered with registry.
@@ -40,8 +41,12 @@
 			Name: "fireflymoor_target_calls_total",
 			Help: "Calls sent to targets of this instance, by whether the target stated a limit then.",
 		}, []string{"limited"}),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "fireflymoor_limit_refusals_total",
+			Help: "Calls to targets of this instance that were refused, as they would have waited, while the target stated a limit.",
+		}),
 	}
-	registry.MustRegister(m.queued, m.sentBack, m.departed, m.sent)
+	registry.MustRegister(m.queued, m.sentBack, m.departed, m.sent, m.refused)
 	return m
 }
 
@@ -68,6 +73,13 @@
 	}
 }
 
+// observeLimitRefusal counts a call that was refused while its target stated a limit.
+func (m *Metrics) observeLimitRefusal() {
+	if m != nil {
+		m.refused.Inc()
+	}
+}
+
 // observeRefusal counts a call that was sent back.
 func (m *Metrics) observeRefusal(named bool) {
 	if m == nil {
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -157,7 +157,12 @@
 	known := r.targets[a.ID]
 	if known == nil || !known.announcement.sameTarget(a) {
 		r.dropAtAddress(a)
+		before := known
 		known = r.add(a)
+		if before != nil && before.started == a.Started && before.address == a.Address {
+			rate, _ := before.limit.state()
+			known.limit.adopt(rate, known.limiter.SetRate)
+		}
 	}
 	known.announcement = a
 	known.renewedAt = now
--- a/internal/target/report.go
+++ b/internal/target/report.go
@@ -84,7 +84,9 @@
 	if !errors.As(err, &busy) {
 		return
 	}
-	busy.Limit, _ = t.limit.state()
+	if busy.Limit, _ = t.limit.state(); busy.Limit > 0 {
+		s.metrics.observeLimitRefusal()
+	}
 	if !t.isEven(s.registry.balance()) {
 		return
 	}
--- a/internal/tracker/limit.go
+++ b/internal/tracker/limit.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/fireflymoor/fireflymoor"
 )
 
@@ -73,6 +75,25 @@
 	return t.entry(target, now).limit.current(now)
 }
 
+var limitDescription = prometheus.NewDesc("fireflymoor_known_limit",
+	"Calls per second that a target of any instance accepts, as this node knows it.", []string{"target"}, nil)
+
+// Describe implements prometheus.Collector.
+func (*Tracker) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- limitDescription
+}
+
+// Collect implements prometheus.Collector.
+func (t *Tracker) Collect(metrics chan<- prometheus.Metric) {
+	now := time.Now()
+	t.limits.Range(func(id, l any) bool {
+		if rate := l.(*limit).current(now); rate > 0 {
+			metrics <- prometheus.MustNewConstMetric(limitDescription, prometheus.GaugeValue, rate, id.(string))
+		}
+		return true
+	})
+}
+
 func (l *limit) current(now time.Time) float64 {
 	if now.UnixNano()-l.at.Load() > int64(limitTTL) {
 		return 0
--- a/outcome.go
+++ b/outcome.go
@@ -1,6 +1,7 @@
 package fireflymoor
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,7 +37,11 @@
 
 // Error implements error.
 func (e *BusyError) Error() string {
-	return ErrBusy.Error() + ": calls wait for " + e.Wait.String()
+	text := ErrBusy.Error() + ": calls wait for " + e.Wait.String()
+	if e.Limit > 0 {
+		text += " at a limit of " + strconv.FormatFloat(e.Limit, 'g', -1, 64) + " a second"
+	}
+	return text
 }
 
 // Is makes errors.Is match e with ErrBusy.
