--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -306,17 +306,9 @@
 	h.options.Metrics.picks.WithLabelValues(pick.Reason).Inc()
 	c.tried = append(c.tried, pick.Target.ID)
 	c.mayRedirect = pick.MayRedirect && h.mayRedirect(ctx, c)
-	c.request.Header.Set(annotator.CallID, h.tryID(c.id))
 	end := h.options.Tracker.Begin(pick.Target, now)
-	c.request.Header.Set(annotator.TargetID, pick.Target.ID)
 	c.request.Body, c.request.ContentLength = c.body.reader()
-	annotator.SetOrRemove(c.request.Header, annotator.Departed, h.departures.started(pick.Target.ID, now))
-	annotator.SetLimit(c.request.Header, h.options.Tracker.Limit(pick.Target, now))
-	c.setPriorityHeaders(now)
-	c.setTenantHeaders()
-	if c.route.Bulk {
-		c.request.Header.Set(annotator.Bulk, "yes")
-	}
+	h.setTryHeaders(c, pick.Target, now)
 	observation := h.observe(c, pick.Target)
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
 	if !c.mayRedirect || !isSaturated(outcome, err) {
@@ -333,8 +325,7 @@
 	} else {
 		h.options.Ejector.RecordSuccess(pick.Target.ID)
 	}
-	h.options.Tracker.RecordLimit(pick.Target, h.options.Dialect.ReadNotice(response.Header).Limit, now, time.Now())
-	h.departures.record(pick.Target.ID, response.Header, time.Now())
+	h.recordNotice(pick.Target, response.Header, now)
 	h.options.Tracker.RecordResponse(pick.Target, c.route.Name, time.Since(now), time.Now())
 	if report, known := annotator.TakeLoadReport(response.Header); known {
 		h.recordReport(c, pick.Target, report)
@@ -350,6 +341,29 @@
 	return response, outcome, nil
 }
 
+// setTryHeaders sets the headers of a call for its try at a target. They repeat what this
+// proxy knows of the target, whose node may have restarted.
+func (h *Handler) setTryHeaders(c *call, target fireflymoor.Target, now time.Time) {
+	header := c.request.Header
+	header.Set(annotator.CallID, h.tryID(c.id))
+	header.Set(annotator.TargetID, target.ID)
+	annotator.SetOrRemove(header, annotator.Departed, h.departures.started(target.ID, now))
+	annotator.SetLimit(header, h.options.Tracker.Limit(target, now))
+	c.setPriorityHeaders(now)
+	c.setTenantHeaders()
+	if c.route.Bulk {
+		header.Set(annotator.Bulk, "yes")
+	}
+}
+
+// recordNotice records what a target stated about itself in a response to a call that was
+// sent at sentAt.
+func (h *Handler) recordNotice(target fireflymoor.Target, response http.Header, sentAt time.Time) {
+	now := time.Now()
+	h.options.Tracker.RecordLimit(target, h.options.Dialect.ReadNotice(response).Limit, sentAt, now)
+	h.departures.record(target.ID, response, now)
+}
+
 // paceBulk makes a bulk response of another node be passed on at the rate that the link
 // has for it.
 func (h *Handler) paceBulk(ctx context.Context, response *http.Response) {
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -207,7 +207,8 @@
 	index := max(0, slices.IndexFunc(l.waiting, func(w *waiter) bool {
 		switch w.class {
 		case classNested:
-			return l.nested < l.maxNested() && !(l.rate.isSet() && l.nestedLast)
+			mayRepeat := !l.rate.isSet() || !l.nestedLast
+			return l.nested < l.maxNested() && mayRepeat
 		case classBulk:
 			return l.bulk < l.maxBulk()
 		}
--- a/internal/target/limit.go
+++ b/internal/target/limit.go
@@ -158,6 +158,8 @@
 			continue
 		}
 		metrics <- prometheus.MustNewConstMetric(limitDescription, prometheus.GaugeValue, rate, id)
-		metrics <- prometheus.MustNewConstMetric(limitAgeDescription, prometheus.GaugeValue, now.Sub(at).Seconds(), id)
+		if !at.IsZero() {
+			metrics <- prometheus.MustNewConstMetric(limitAgeDescription, prometheus.GaugeValue, now.Sub(at).Seconds(), id)
+		}
 	}
 }
