--- a/internal/limiter/rate.go
+++ b/internal/limiter/rate.go
@@ -16,8 +16,7 @@
 	burstTime = 250 * time.Millisecond
 )
 
-// rateLimit is a token bucket. The zero value admits all calls. Tokens can be owed,
-// when the rate falls.
+// rateLimit is a token bucket. The zero value admits all calls.
 type rateLimit struct {
 	// perSecond is the rate, or 0 if there is none.
 	perSecond float64
@@ -52,6 +51,7 @@
 	return minBurst + math.Floor(r.perSecond*burstTime.Seconds())
 }
 
+// refill adds the tokens since they were last counted.
 func (r *rateLimit) refill(now time.Time) {
 	elapsed := max(now.Sub(r.at).Seconds(), 0)
 	r.tokens = min(r.tokens+elapsed*r.perSecond, r.burst())
--- a/internal/target/limit.go
+++ b/internal/target/limit.go
@@ -119,6 +119,7 @@
 	}
 }
 
+// logLimit logs a limit that a target states, or its end if it is 0.
 func logLimit(log zerolog.Logger, id string, rate float64) {
 	if rate == 0 {
 		log.Info().Str("target", id).Msg("target: limit ended")
--- a/internal/tracker/limit.go
+++ b/internal/tracker/limit.go
@@ -28,6 +28,7 @@
 	refusedUntil atomic.Int64
 }
 
+// limitOf returns the limit of the target with an id, which is created if necessary.
 func (t *Tracker) limitOf(id string) *limit {
 	if l, ok := t.limits.Load(id); ok {
 		return l.(*limit)
