internal/limiter: do not hold calls for the rate of a target

Cause: a call without an objective, as nested calls are, may wait as long as it is likely to begin before its deadline. For a slot that is short; the token of a target with a limit of 0.5 calls a second takes 2 s. Change: where there is a rate, no call is queued that is expected to wait for more than 250 ms.

--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -121,6 +121,9 @@
 	if ticket.Objective > 0 {
 		w.softDeadline = earlier(w.softDeadline, now.Add(l.maxWait(ticket.Rank, ticket.Objective)))
 	}
+	if l.rate.isSet() {
+		w.softDeadline = earlier(w.softDeadline, now.Add(maxRateWait))
+	}
 	return w
 }
 
--- a/internal/limiter/rate.go
+++ b/internal/limiter/rate.go
@@ -14,6 +14,9 @@
 	// over seconds, and arrivals are not even.
 	minBurst  = 2
 	burstTime = 250 * time.Millisecond
+	// maxRateWait is the longest time that a call is expected to wait where there is a
+	// rate. Another target may have room, and a caller is better told to return.
+	maxRateWait = 250 * time.Millisecond
 )
 
 // rateLimit is a token bucket. The zero value admits all calls.
