--- a/internal/runner/target_limit_test.go
+++ b/internal/runner/target_limit_test.go
@@ -114,9 +114,8 @@
 
 // limitFleet is a fleet of nodes, of which the first ones have a target each.
 type limitFleet struct {
-	viewer     *fixedViewer
-	handlers   []http.Handler
-	registries []*target.Registry
+	viewer   *fixedViewer
+	handlers []http.Handler
 }
 
 // newLimitFleet returns a fleet of nodes.
@@ -150,7 +149,6 @@
 			known = append(known, announceStating(t, registry, name, targets[i]))
 			known[i].Address = serveHandler(t, pack.Handler(receiver.New(func(uint64) bool { return true }, local, registrar.New(), zerolog.Nop())))
 		}
-		f.registries = append(f.registries, registry)
 		f.handlers = append(f.handlers, caller.New(caller.Options{
 			Node:         name,
 			Dialect:      annotator.NewDialect(),
