internal/dater: estimate and report the age of calls between nodes

What callers saw: calls that reached targets 2.8 s after their deadlines, and nothing in logs or metrics that tells at which hop they were held up. Change: nodes stamp calls with a clock of their own, and the receiving node estimates how old a call is by the smallest difference seen from that process: a lower bound, which needs no common clock. fireflymoor_call_age_seconds and the field age show it. Nothing acts on the age yet. Nodes of other versions drop the stamp or send none; the age is unknown then.

--- a/internal/annotator/annotator.go
+++ b/internal/annotator/annotator.go
@@ -92,13 +92,16 @@
 	// milliseconds. The target's node adds it to the target's response, and nodes that
 	// have passed on such a response repeat it with calls to that target.
 	Departed = "Fireflymoor-Departed"
+	// Sent is the stamp of the clock of the node that sends a call. It tells the age of
+	// the call to the node that receives it.
+	Sent = "Fireflymoor-Sent"
 	// Packed combines most of these headers and other headers in one header.
 	Packed = "Ffm"
 )
 
 var (
 	// internalHeaders are the headers between nodes.
-	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, MaxWait, Neighbor, Load, Tenant, KeyID, Bulk, Limit, Departed, Packed}
+	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, MaxWait, Neighbor, Load, Tenant, KeyID, Bulk, Limit, Departed, Sent, Packed}
 	// hopByHop are the headers that apply to a single connection only.
 	hopByHop = []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
+	"github.com/fireflymoor/fireflymoor/internal/dater"
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/packer"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
@@ -76,6 +77,7 @@
 type Remote struct {
 	dialer         *dialer.Dialer
 	packer         *packer.Packer
+	clock          *dater.Clock
 	lock           sync.Mutex
 	transports     map[string]*sender.Transport
 	queryTransport *sender.Transport
@@ -91,6 +93,7 @@
 	return &Remote{
 		dialer:         dialer,
 		packer:         packer,
+		clock:          dater.NewClock(),
 		transports:     map[string]*sender.Transport{},
 		queryTransport: queryTransport,
 		options:        options,
@@ -171,6 +174,7 @@
 	}
 	sendContext, cancel := context.WithCancelCause(ctx)
 	out := sender.Prepare(sendContext, in, target.Address, in.Body, in.ContentLength)
+	out.Header.Set(annotator.Sent, f.clock.Stamp())
 	query.id = out.Header.Get(annotator.CallID)
 	resolved := make(chan resolution, 1)
 	settled := &atomic.Bool{}
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -50,6 +50,7 @@
 	annotator.Neighbor:        'p',
 	annotator.Departed:        'x',
 	annotator.Limit:           'f',
+	annotator.Sent:            '0',
 	"Content-Type":            'y',
 	"Date":                    'z',
 	"User-Agent":              'h',
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,6 +16,7 @@
 
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
+	"github.com/fireflymoor/fireflymoor/internal/dater"
 	"github.com/fireflymoor/fireflymoor/internal/forwarder"
 	"github.com/fireflymoor/fireflymoor/internal/registrar"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
@@ -37,6 +39,8 @@
 	isBoot    func(boot uint64) bool
 	forwarder fireflymoor.Forwarder
 	registrar *registrar.Registrar
+	dater     *dater.Dater
+	metrics   *Metrics
 	log       zerolog.Logger
 }
 
@@ -47,10 +51,16 @@
 		isBoot:    isBoot,
 		forwarder: local,
 		registrar: registrar,
+		dater:     dater.New(),
 		log:       log,
 	}
 }
 
+// UseMetrics makes the receiver record metrics. It must be called before ServeHTTP.
+func (r *Receiver) UseMetrics(metrics *Metrics) {
+	r.metrics = metrics
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == forwarder.RevokePath {
@@ -64,16 +74,31 @@
 		return
 	}
 	w.Header().Set(annotator.CallID, id)
+	age := r.age(request)
 	if err := r.registrar.Begin(id, time.Now()); err != nil {
 		Refuse(w, http.StatusServiceUnavailable, fireflymoor.NotRun, err.Error())
 		return
 	}
 	ctx, cancel := r.callContext(request, id, timeout)
 	defer cancel()
-	r.serve(ctx, w, request, id)
+	r.serve(ctx, w, request, id, age)
 	FinishRequest(w, request)
 }
 
+// age returns how long ago another node sent a call, as far as that is known, and
+// removes its stamp.
+func (r *Receiver) age(request *http.Request) time.Duration {
+	stamp := request.Header.Get(annotator.Sent)
+	request.Header.Del(annotator.Sent)
+	if stamp == "" {
+		return 0
+	}
+	host, _, _ := net.SplitHostPort(request.RemoteAddr)
+	age := r.dater.Age(host, stamp)
+	r.metrics.observeAge(age)
+	return age
+}
+
 // callContext returns the context for running a call. A call that must not
 // repeat outlives its connection for as long as its state is queried over other
 // connections. Otherwise its caller is assumed to have left and it is canceled.
@@ -110,7 +135,7 @@
 
 // serve sends the call to its target, writes the response and records the end
 // of the call.
-func (r *Receiver) serve(ctx context.Context, w http.ResponseWriter, request *http.Request, id string) {
+func (r *Receiver) serve(ctx context.Context, w http.ResponseWriter, request *http.Request, id string, age time.Duration) {
 	state := registrar.Unknown
 	var kept *registrar.Response
 	defer func() {
@@ -136,7 +161,7 @@
 		AbandonRequest(w, request)
 		setRefusalHeaders(w.Header(), err)
 		r.log.Info().Str("call", id).Str("target", target.ID).Stringer("outcome", outcome).
-			Dur("took", time.Since(began)).Err(err).Msg("receiver: not served")
+			Dur("age", age).Dur("took", time.Since(began)).Err(err).Msg("receiver: not served")
 		Refuse(w, http.StatusServiceUnavailable, outcome, err.Error())
 		return
 	}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -90,7 +90,9 @@
 	lastRebuild  time.Time
 	throttle     applier.Throttle
 	applyPending bool
-	leaving      atomic.Bool
+	// storedAt is when the oldest version that is not in force yet was stored.
+	storedAt time.Time
+	leaving  atomic.Bool
 	// evidence sums up this node's calls to services under roll-out. If the node is
 	// its zone's reporter, relay sums up the calls of the zone's nodes, and
 	// relayFilter, which is accessed only on the sequencer, drops repeated messages.
@@ -194,7 +196,9 @@
 	n.callers.Protocols = &http.Protocols{}
 	n.callers.Protocols.SetHTTP1(true)
 	n.callers.Protocols.SetUnencryptedHTTP2(true)
-	n.calls = newServer(n.packer.Handler(receiver.New(n.coordinator.IsLocalBoot, local, registrar.New(), n.rateLimitedLog())))
+	calls := receiver.New(n.coordinator.IsLocalBoot, local, registrar.New(), n.rateLimitedLog())
+	calls.UseMetrics(receiver.NewMetrics(n.registry))
+	n.calls = newServer(n.packer.Handler(calls))
 	n.platform = newServer(platform.NewHandler(n.registry, n.unreadyReason, n.targets))
 	if n.adapter != nil {
 		n.ready = newServer(n.adapter.Ready(n.unreadyReason))
@@ -393,6 +397,7 @@
 	if n.applyPending {
 		return
 	}
+	n.storedAt = time.Now()
 	wait := n.throttle.Wait(time.Now())
 	if wait == 0 {
 		n.apply()
@@ -425,7 +430,8 @@
 	n.view.Store(&view)
 	n.targets.Configure(current)
 	n.limits.configure(current)
-	n.log.Info().Uint64("version", current.Number()).Msg("config: in force")
+	n.log.Info().Uint64("version", current.Number()).Dur("waited", began.Sub(n.storedAt)).
+		Dur("took", time.Since(began)).Msg("config: in force")
 }
 
 // MembersChanged implements coordinator.Watcher.
