internal/receiver: count the time that a call was on its way against its deadline

What callers saw: 14 calls reached a target 2.8 s after their deadlines, long after their callers had left (GONE). Cause: the header between nodes holds the time left, and the receiving node counted it from the moment at which it read the call. Whatever held the call up between the nodes counted for nothing, and the end of the connection, a few milliseconds behind the call, came too late. Class of fault: a duration is sent where a point in time is meant. Evidence: runner.TestHeldCallsOfDepartedCallers failed before in all four cases: of 15 calls on a link that held them until their callers had left, 13 to 15 reached the target, GET and POST, with their deadline passed or with 9 s left. Change: the age of a call is subtracted from its time left and from its objective, a call that has no time left is refused as not run, and a call that was held up waits 30 ms for the end of its connection, which a sender transmits behind it.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -32,8 +32,16 @@
 	// maxQueryGap is how long it may continue after a query without another one. It
 	// is longer than the time between queries, even if one is lost.
 	maxQueryGap = 2 * time.Second
+	// lateAge is the age above which a call counts as held up on its way. The end of
+	// its connection, if its caller has left meanwhile, arrives up to endDelay after
+	// it: a sender repeats what was lost in order, a round trip for each step.
+	lateAge  = 250 * time.Millisecond
+	endDelay = 30 * time.Millisecond
 )
 
+// errLate is the error of a call that arrived after its deadline.
+var errLate = errors.New("receiver: the call arrived after its deadline")
+
 // A Receiver is the HTTP handler for calls from other nodes.
 type Receiver struct {
 	isBoot    func(boot uint64) bool
@@ -79,8 +87,19 @@
 		Refuse(w, http.StatusServiceUnavailable, fireflymoor.NotRun, err.Error())
 		return
 	}
-	ctx, cancel := r.callContext(request, id, timeout)
+	if timeout <= age {
+		r.registrar.End(id, registrar.NotRun, nil, time.Now())
+		r.log.Info().Str("call", id).Dur("age", age).Err(errLate).Msg("receiver: not served")
+		AbandonRequest(w, request)
+		Refuse(w, http.StatusServiceUnavailable, fireflymoor.NotRun, errLate.Error())
+		return
+	}
+	ctx, cancel := r.callContext(request, id, timeout-age)
 	defer cancel()
+	if age > lateAge {
+		waiter.Pause(request.Context(), endDelay)
+	}
+	reduceObjective(request.Header, age)
 	r.serve(ctx, w, request, id, age)
 	FinishRequest(w, request)
 }
@@ -99,6 +118,14 @@
 	return age
 }
 
+// reduceObjective subtracts the age of a call from the time within which it should be
+// answered.
+func reduceObjective(header http.Header, age time.Duration) {
+	if objective := annotator.Milliseconds(header, annotator.Objective); objective > 0 {
+		annotator.SetMilliseconds(header, annotator.Objective, max(objective-age, time.Millisecond))
+	}
+}
+
 // callContext returns the context for running a call. A call that must not
 // repeat outlives its connection for as long as its state is queried over other
 // connections. Otherwise its caller is assumed to have left and it is canceled.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -17,6 +17,8 @@
 type Rule struct {
 	// Delay is the one-way delay of all bytes.
 	Delay time.Duration
+	// EndDelay is how long the end of a connection follows behind its last bytes.
+	EndDelay time.Duration
 	// Cut holds back all bytes and lets no connection open.
 	Cut bool
 }
@@ -217,6 +219,7 @@
 		<-ctx.Done()
 		return
 	}
+	time.Sleep(r.rule(from, to).EndDelay)
 	_ = out.Close()
 	_ = in.Close()
 }
--- a/internal/runner/departed_caller_test.go
+++ b/internal/runner/departed_caller_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -72,6 +73,13 @@
 )
 
 func newDepartureFixture(t *testing.T, slots int) *departureFixture {
+	t.Helper()
+	return newLinkedFixture(t, slots, func(address string) string { return address })
+}
+
+// newLinkedFixture returns a fixture whose nodes are connected by link, which returns the
+// address at which the target's node is reached.
+func newLinkedFixture(t *testing.T, slots int, link func(address string) string) *departureFixture {
 	t.Helper()
 	f := &departureFixture{
 		is:    is.New(t),
@@ -95,7 +103,7 @@
 	}, time.Now())
 	f.local = target.NewServer(registry, annotator.NewDialect(), dial, shaper.New(0, prometheus.NewRegistry()))
 	nodePacker := packer.New("far")
-	address := serveHandler(t, nodePacker.Handler(receiver.New(func(uint64) bool { return true }, f.local, registrar.New(), zerolog.Nop())))
+	address := link(serveHandler(t, nodePacker.Handler(receiver.New(func(uint64) bool { return true }, f.local, registrar.New(), zerolog.Nop()))))
 	view := fireflymoor.NewView(configuration.WithNumber(1), []fireflymoor.Target{{
 		ID:      "far/target",
 		Service: "service",
@@ -167,15 +175,21 @@
 	}
 }
 
-// send sends a request on a new connection and returns the connection.
-func (f *departureFixture) send(address, method, path string) net.Conn {
+// send sends a request with further header lines on a new connection and returns the
+// connection.
+func (f *departureFixture) send(address, method, path string, lines ...string) net.Conn {
 	conn, err := net.Dial("tcp", address)
 	f.is.NoErr(err)
 	body := ""
 	if method == http.MethodPost {
 		body = "body"
 	}
-	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body)
+	lines = append([]string{
+		method + " " + path + " HTTP/1.1",
+		"Host: a",
+		fmt.Sprintf("Content-Length: %d", len(body)),
+	}, lines...)
+	_, err = fmt.Fprintf(conn, "%s\r\n\r\n%s", strings.Join(lines, "\r\n"), body)
 	f.is.NoErr(err)
 	return conn
 }
