internal/limiter: count a token that is taken at once as a nested call's turn

Cause: nested calls get every other token of the queue, but a nested call that finds a token and an empty queue took it at once, and the next one from the queue was nested again. It depends on the order in which goroutines start. The check and its bound are unchanged.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -104,7 +104,7 @@
 	// wake grants slots when the next token of the rate is there. It is nil as long as no
 	// call has waited for one.
 	wake *time.Timer
-	// nestedLast is set if the last call that got a slot from the queue was nested.
+	// nestedLast is set if the last call that got a slot was nested.
 	nestedLast bool
 	draining   bool
 	// idle is closed when the limiter drains and its last call has ended.
@@ -152,6 +152,7 @@
 	f := l.offer(ticket)
 	// While there is a rate, calls may wait although slots are free.
 	if l.inFlight < l.slots && len(l.waiting) == 0 && l.rate.take(l.now()) {
+		l.nestedLast = ticket.class() == classNested
 		l.occupySlot(ticket.class())
 		l.grantAtOnce(f, ticket)
 		l.lock.Unlock()
