internal/quarantiner: hold back requests under which targets have ended

Cause: nothing remembered what a call did to its target. A safe call was sent to the next target, and callers sent it again with another id. Evidence: integration.TestDeadlyRequest, run with the stand-in targets on: 74 (GET) and 60 (POST) targets ended under 60 calls, none of them refused. Change: when a call fails, the target's node probes the target; if its address refuses connections, the target has ended, and the node spreads the fingerprints of the requests that it was serving over all links. A request with two ends is refused for 10 s if it was sent again after the first, and is then tried at one target, once at a time; with three it is refused for 10 minutes. A response clears it. Calls that were not sent get 503, those under which a target ended 502. 'fireflymoor quarantine' lists and clears requests.

--- a/cmd/fireflybench/main.go
+++ b/cmd/fireflybench/main.go
@@ -35,6 +35,7 @@
 	Delay   time.Duration `default:"0s" help:"Time that each call takes."`
 	Runs    string        `help:"File to which a line is appended for each call that runs."`
 	Limit   float64       `help:"Calls per second that the target accepts, as it states and checks, or 0."`
+	Deadly  bool          `help:"End at calls whose paths end with /deadly."`
 }
 
 // Run runs the command.
@@ -48,6 +49,7 @@
 		Delay:   c.Delay,
 		Runs:    c.Runs,
 		Limit:   c.Limit,
+		Deadly:  c.Deadly,
 	})
 	if err != nil {
 		return errors.Wrap(err, "target")
--- a/cmd/fireflymoor/main.go
+++ b/cmd/fireflymoor/main.go
@@ -36,24 +36,25 @@
 
 // commands are the commands, as kong reads them from the command line.
 type commands struct {
-	Demo     demoCommand     `cmd:"" help:"Run every role in one process, with sample targets."`
-	Control  controlCommand  `cmd:"" help:"Run a control replica."`
-	Node     nodeCommand     `cmd:"" help:"Run a node."`
-	Check    checkCommand    `cmd:"" help:"Check settings without starting anything."`
-	Accept   acceptCommand   `cmd:"" help:"Accept a team's template and values."`
-	Render   renderCommand   `cmd:"" help:"Render without accepting, and show a diff from the version in force."`
-	Template templateCommand `cmd:"" help:"Print a team's accepted template."`
-	Values   valuesCommand   `cmd:"" help:"Print a team's accepted values."`
-	Teams    teamsCommand    `cmd:"" help:"List the teams."`
-	Status   statusCommand   `cmd:"" help:"Show the state of the replicated log, and which nodes hold the accepted version."`
-	Wait     waitCommand     `cmd:"" help:"Wait until a version is in force everywhere."`
-	History  historyCommand  `cmd:"" help:"List the latest changes."`
-	Targets  targetsCommand  `cmd:"" help:"List the targets by state."`
-	Tenants  tenantsCommand  `cmd:"" help:"List a team's tenants in the accepted version."`
-	Key      keyCommand      `cmd:"" help:"Work with the keys of tenants."`
-	Drain    drainCommand    `cmd:"" help:"Drain a node: send its targets no new calls."`
-	Rollout  rolloutCommand  `cmd:"" help:"Move a service's calls to targets of another version."`
-	Replica  replicaCommand  `cmd:"" help:"Manage the control replicas."`
+	Demo       demoCommand       `cmd:"" help:"Run every role in one process, with sample targets."`
+	Control    controlCommand    `cmd:"" help:"Run a control replica."`
+	Node       nodeCommand       `cmd:"" help:"Run a node."`
+	Check      checkCommand      `cmd:"" help:"Check settings without starting anything."`
+	Accept     acceptCommand     `cmd:"" help:"Accept a team's template and values."`
+	Render     renderCommand     `cmd:"" help:"Render without accepting, and show a diff from the version in force."`
+	Template   templateCommand   `cmd:"" help:"Print a team's accepted template."`
+	Values     valuesCommand     `cmd:"" help:"Print a team's accepted values."`
+	Teams      teamsCommand      `cmd:"" help:"List the teams."`
+	Status     statusCommand     `cmd:"" help:"Show the state of the replicated log, and which nodes hold the accepted version."`
+	Wait       waitCommand       `cmd:"" help:"Wait until a version is in force everywhere."`
+	History    historyCommand    `cmd:"" help:"List the latest changes."`
+	Targets    targetsCommand    `cmd:"" help:"List the targets by state."`
+	Tenants    tenantsCommand    `cmd:"" help:"List a team's tenants in the accepted version."`
+	Key        keyCommand        `cmd:"" help:"Work with the keys of tenants."`
+	Drain      drainCommand      `cmd:"" help:"Drain a node: send its targets no new calls."`
+	Rollout    rolloutCommand    `cmd:"" help:"Move a service's calls to targets of another version."`
+	Quarantine quarantineCommand `cmd:"" help:"List or clear the requests under which targets have ended, as a node knows them."`
+	Replica    replicaCommand    `cmd:"" help:"Manage the control replicas."`
 }
 
 // adapterFlags holds the flags that select the protocols of a process.
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -75,6 +75,8 @@
 	services []string
 	delay    time.Duration
 	relay    bool
+	// targetOptions are further arguments of the targets.
+	targetOptions []string
 	// window is the retention time of idempotency keys, or 0 for the default.
 	window time.Duration
 	// environment holds additional environment variables of the replicas and
@@ -131,7 +133,7 @@
 		for host, service := range s.services {
 			node, err := cluster.StartNode(zone, host+1)
 			m.is.NoErr(err)
-			target, err := cluster.StartTarget(node, service, 20, s.delay)
+			target, err := cluster.StartTarget(node, service, 20, s.delay, s.targetOptions...)
 			m.is.NoErr(err)
 			m.nodes = append(m.nodes, node)
 			m.targets = append(m.targets, target)
--- a/internal/annotator/annotator.go
+++ b/internal/annotator/annotator.go
@@ -95,13 +95,20 @@
 	// Sent is the stamp of the clock of the node that sends a call. It tells the age of
 	// the call to the node that receives it.
 	Sent = "Fireflymoor-Sent"
+	// Ended identifies the end of the target under a call. The target's node adds it to
+	// the refusal.
+	Ended = "Fireflymoor-Ended"
+	// Suspect is the fingerprint of a call's request and the ends of targets that are
+	// known under it, separated by commas. In a refusal it tells that the call is held
+	// back for that.
+	Suspect = "Fireflymoor-Suspect"
 	// Packed combines most of these headers and other headers in one header.
 	Packed = "Ffm"
 )
 
 var (
 	// internalHeaders are the headers between nodes.
-	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, MaxWait, Neighbor, Load, Tenant, KeyID, Bulk, Limit, Departed, Sent, Packed}
+	internalHeaders = []string{TargetID, Boot, Once, Draining, RefusedByTarget, Origin, Rank, Objective, Wait, MaxWait, Neighbor, Load, Tenant, KeyID, Bulk, Limit, Departed, Sent, Ended, Suspect, Packed}
 	// hopByHop are the headers that apply to a single connection only.
 	hopByHop = []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -77,6 +77,17 @@
 	_, _ = io.Copy(io.Discard, reader)
 }
 
+// prefix returns the first bytes of the body, up to a number of bytes. It reports false if
+// they have not been read yet.
+func (b *body) prefix(limit int) ([]byte, bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if b.length != 0 && !b.ended && b.buffered.Len() < limit && int64(b.buffered.Len()) != b.length {
+		return nil, false
+	}
+	return b.buffered.Bytes()[:min(b.buffered.Len(), limit)], true
+}
+
 // rewind ends the earlier readers, which a transport may still hold, so that the
 // body can be read again from its start. If it cannot, rewind reports false, and the
 // current reader can still be used.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -21,6 +21,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/claimer"
 	"github.com/fireflymoor/fireflymoor/internal/detector"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
+	"github.com/fireflymoor/fireflymoor/internal/quarantiner"
 	"github.com/fireflymoor/fireflymoor/internal/receiver"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
 	"github.com/fireflymoor/fireflymoor/internal/shaper"
@@ -98,6 +99,8 @@
 	IsCurrent func() bool
 	// Shaper shares the link between bulk responses and other traffic, or is nil.
 	Shaper *shaper.Shaper
+	// Quarantine holds the requests under which targets have ended. It may be nil.
+	Quarantine Quarantine
 	// Metrics counts calls.
 	Metrics *Metrics
 	// RouteLog receives one line for each pick of a target, and Log all other
@@ -159,6 +162,11 @@
 	// neighbor is the id of the target that the node of a full target has named, or
 	// empty.
 	neighbor string
+	// requestPrint is the fingerprint of the request, or 0 if it has not been needed.
+	requestPrint quarantiner.Fingerprint
+	// onTrial is set if the current try is a trial of a request under which targets have
+	// ended.
+	onTrial bool
 	// grant is the granted claim on the call's idempotency key, or nil.
 	grant *claimer.Grant
 	// counted is set if the call counts towards the rate of the tenant countedFor.
@@ -277,7 +285,7 @@
 		status := failureStatus(ctx, c, outcome, err)
 		retryAfter := time.Duration(0)
 		if status != http.StatusUnauthorized {
-			retryAfter = retryDelay(ctx, c.route, outcome, c.limitInterval)
+			retryAfter = max(retryDelay(ctx, c.route, outcome, c.limitInterval), quarantineDelay(ctx, err))
 		}
 		h.options.Metrics.countTenant(c.identity.tenant.Name, outcome.String())
 		h.refuseWithDelay(w, c.id, status, outcome, callerReason(ctx, c, outcome, err), err.Error(), retryAfter)
@@ -294,6 +302,9 @@
 	if !h.recheckKey(c) {
 		return nil, fireflymoor.NotRun, errWithdrawn
 	}
+	if err := h.checkQuarantine(c, now); err != nil {
+		return nil, fireflymoor.NotRun, err
+	}
 	pick, ok := h.pick(c, now)
 	if !ok {
 		return nil, fireflymoor.NotRun, errors.Wrapf(errNoTarget, "caller: service %s", c.service.Name)
@@ -316,6 +327,7 @@
 	}
 	if err != nil {
 		end()
+		h.recordEnd(c, err)
 		h.recordFailure(ctx, c, pick.Target, outcome, err)
 		observation.recordError(ctx, c, outcome)
 		return nil, outcome, err
@@ -386,7 +398,8 @@
 // target was draining. A target that sheds part of its calls refuses the others no
 // more likely for it.
 func isSaturated(outcome fireflymoor.Outcome, err error) bool {
-	return outcome == fireflymoor.NotRun && errors.Is(err, fireflymoor.ErrBusy) && !errors.Is(err, fireflymoor.ErrRefusedByTarget)
+	return outcome == fireflymoor.NotRun && errors.Is(err, fireflymoor.ErrBusy) &&
+		!errors.IsAny(err, fireflymoor.ErrRefusedByTarget, fireflymoor.ErrQuarantined)
 }
 
 // recordReport records the load that a target's node reported.
--- a/internal/caller/candidates.go
+++ b/internal/caller/candidates.go
@@ -49,6 +49,9 @@
 		candidates = c.keepInZone(candidates)
 	}
 	candidates = notStalled(candidates)
+	if c.onTrial {
+		return c.pickTrial(candidates)
+	}
 	if h.isEven(c) {
 		return h.pickEven(c, candidates, now)
 	}
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -36,6 +36,7 @@
 	picks       *prometheus.CounterVec
 	departed    *prometheus.CounterVec
 	limited     prometheus.Counter
+	quarantined prometheus.Counter
 	duration    prometheus.Histogram
 }
 
@@ -77,7 +78,11 @@
 			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
 		}),
 	}
-	registry.MustRegister(m.calls, m.tenantCalls, m.failedTries, m.claims, m.picks, m.departed, m.limited, m.duration)
+	m.quarantined = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "fireflymoor_quarantined_calls_total",
+		Help: "Tries that were not made because targets have ended under the same request.",
+	})
+	registry.MustRegister(m.quarantined, m.calls, m.tenantCalls, m.failedTries, m.claims, m.picks, m.departed, m.limited, m.duration)
 	return m
 }
 
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -21,7 +21,7 @@
 // had left before the call was sent, its request could not be read, or the target's node
 // was only busy. A caller that canceled after the objective had good reason to.
 func (h *Handler) recordFailure(ctx context.Context, c *call, target fireflymoor.Target, outcome fireflymoor.Outcome, err error) {
-	if c.canceledEarly(ctx) || errors.Is(err, fireflymoor.ErrCallerLeft) {
+	if c.canceledEarly(ctx) || errors.IsAny(err, fireflymoor.ErrCallerLeft, fireflymoor.ErrQuarantined) {
 		return
 	}
 	if c.body.failed() && ctx.Err() == nil {
@@ -120,7 +120,7 @@
 	case ctx.Err() != nil:
 		return "the time for the call has passed"
 	}
-	for _, known := range []error{errWithdrawn, errNoTarget, errBodyNotReplayable, errRetryBudgetSpent, fireflymoor.ErrDraining, fireflymoor.ErrBusy} {
+	for _, known := range []error{fireflymoor.ErrQuarantined, errWithdrawn, errNoTarget, errBodyNotReplayable, errRetryBudgetSpent, fireflymoor.ErrDraining, fireflymoor.ErrBusy} {
 		if errors.Is(err, known) {
 			return known.Error()
 		}
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -53,7 +53,7 @@
 	}
 	tryLimit := h.options.RefusalRate.MaxTries(c.service.Name, maxTries)
 	switch {
-	case errors.IsAny(err, errNoTarget, errWithdrawn, fireflymoor.ErrCallerLeft), c.runs > c.route.Retries, len(c.tried) >= tryLimit, !mayRepeat, ctx.Err() != nil:
+	case errors.IsAny(err, errNoTarget, errWithdrawn, fireflymoor.ErrCallerLeft, fireflymoor.ErrQuarantined), c.runs > c.route.Retries, len(c.tried) >= tryLimit, !mayRepeat, ctx.Err() != nil:
 		return false
 	case !c.body.replayable():
 		h.options.Log.Info().Str("call", c.id).Err(errBodyNotReplayable).Msg("caller: no retry")
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/distributor"
 	"github.com/fireflymoor/fireflymoor/internal/linker"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/quarantiner"
 	"github.com/fireflymoor/fireflymoor/internal/sequencer"
 )
 
@@ -82,6 +83,9 @@
 	Log zerolog.Logger
 	// Watcher is notified of changes.
 	Watcher Watcher
+	// Quarantiner holds the requests under which targets have ended. If it is nil, New
+	// creates one.
+	Quarantiner *quarantiner.Quarantiner
 }
 
 // A Coordinator runs one member of the overlay. Its methods must be called on
@@ -162,6 +166,12 @@
 		lastTick:    now,
 	}
 	c.linker = linker.NewLinker(c, options.Dialer)
+	if c.options.Quarantiner == nil {
+		c.options.Quarantiner = quarantiner.New()
+	}
+	c.options.Quarantiner.UseSpread(func(news *messenger.TargetEnds) {
+		c.options.Sequencer.Post(func() { c.sendTargetEnds(news, "") })
+	})
 	c.publish()
 	return c
 }
--- a/internal/coordinator/handler.go
+++ b/internal/coordinator/handler.go
@@ -131,6 +131,7 @@
 		}))
 	}
 	c.Apply(c.distributor.OnPeerUp(name, link.Head(), now))
+	c.sendHeldRequests(link, now)
 	if link.Dialed() && now.Sub(c.digestSentAt) > digestInterval {
 		c.sendDigest(link)
 	}
@@ -194,6 +195,8 @@
 		c.Apply(c.distributor.OnPull(name, body.Pull))
 	case *messenger.Frame_Pieces:
 		c.Apply(c.distributor.OnPieces(name, body.Pieces, now))
+	case *messenger.Frame_TargetEnds:
+		c.onTargetEnds(body.TargetEnds, name)
 	}
 }
 
--- a/internal/coordinator/maintenance.go
+++ b/internal/coordinator/maintenance.go
@@ -65,6 +65,7 @@
 	c.probe(now)
 	if now.After(c.expireDue) {
 		c.expireDue = now.Add(expireInterval)
+		c.options.Quarantiner.Expire(now)
 		if c.announcer.Expire(now) {
 			c.prunePeers()
 			c.options.Watcher.MembersChanged()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -337,6 +337,12 @@
 		return nil, fireflymoor.NotRun, refusalError(response.Header, reason)
 	}
 	discard(response)
+	if end := annotator.ReadEnded(response.Header); end != 0 {
+		ended := &fireflymoor.EndedError{
+			End: end,
+		}
+		return nil, fireflymoor.Unknown, errors.Wrap(ended, "forwarder: outcome unknown")
+	}
 	return nil, fireflymoor.Unknown, errors.Newf("forwarder: outcome unknown: %s", reason)
 }
 
@@ -354,6 +360,9 @@
 	if header.Get(annotator.Draining) != "" {
 		err = errors.Mark(err, fireflymoor.ErrDraining)
 	}
+	if header.Get(annotator.Suspect) != "" {
+		err = errors.Mark(err, fireflymoor.ErrQuarantined)
+	}
 	if header.Get(annotator.RefusedByTarget) != "" {
 		err = errors.Mark(err, fireflymoor.ErrRefusedByTarget)
 	}
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -51,6 +51,8 @@
 	annotator.Departed:        'x',
 	annotator.Limit:           'f',
 	annotator.Sent:            '0',
+	annotator.Ended:           '1',
+	annotator.Suspect:         '2',
 	"Content-Type":            'y',
 	"Date":                    'z',
 	"User-Agent":              'h',
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/fireflymoor/fireflymoor/internal/quarantiner"
 	"github.com/fireflymoor/fireflymoor/internal/target"
 	"github.com/fireflymoor/fireflymoor/pkg/parser"
 )
@@ -25,8 +26,8 @@
 
 // NewHandler returns a new http.Handler. unreadyReason returns why the process is
 // not ready, or "" if it is ready. targets may be nil; then the handler accepts no
-// announcements.
-func NewHandler(registry *prometheus.Registry, unreadyReason func() string, targets *target.Registry) http.Handler {
+// announcements. quarantine may be nil as well.
+func NewHandler(registry *prometheus.Registry, unreadyReason func() string, targets *target.Registry, quarantine *quarantiner.Quarantiner) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
@@ -42,9 +43,33 @@
 	if targets != nil {
 		handleTargets(mux, targets)
 	}
+	if quarantine != nil {
+		handleQuarantine(mux, quarantine)
+	}
 	return mux
 }
 
+// handleQuarantine lists the requests under which targets have ended, and clears them.
+func handleQuarantine(mux *http.ServeMux, quarantine *quarantiner.Quarantiner) {
+	mux.HandleFunc("GET /v1/quarantine", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(quarantine.Entries(time.Now()))
+	})
+	mux.HandleFunc("DELETE /v1/quarantine/{request}", func(w http.ResponseWriter, r *http.Request) {
+		request, err := quarantiner.Parse(r.PathValue("request"))
+		if err != nil {
+			http.Error(w, "the request is no hexadecimal number", http.StatusBadRequest)
+			return
+		}
+		if !quarantine.Knows(request) {
+			http.Error(w, "no target has ended under this request", http.StatusNotFound)
+			return
+		}
+		quarantine.Clear(request, time.Now())
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
 func handleTargets(mux *http.ServeMux, targets *target.Registry) {
 	mux.HandleFunc("POST /v1/targets", func(w http.ResponseWriter, r *http.Request) {
 		a := target.Announcement{}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -229,6 +229,13 @@
 	if errors.Is(err, fireflymoor.ErrRefusedByTarget) {
 		header.Set(annotator.RefusedByTarget, "yes")
 	}
+	ended := &fireflymoor.EndedError{}
+	if errors.As(err, &ended) {
+		annotator.SetEnded(header, ended.End)
+	}
+	if errors.Is(err, fireflymoor.ErrQuarantined) {
+		header.Set(annotator.Suspect, "yes")
+	}
 	busy := &fireflymoor.BusyError{}
 	if errors.As(err, &busy) {
 		annotator.SetMilliseconds(header, annotator.Wait, busy.Wait)
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,15 @@
 // TargetHeader is the response header with the id of the stand-in.
 const TargetHeader = "Stand-In-Target"
 
+const (
+	// DeadlyPath ends the paths of calls that end a stand-in whose options allow it.
+	DeadlyPath = "/deadly"
+	// DeadlyStatus is the exit status of a stand-in that such a call has ended.
+	DeadlyStatus = 86
+	// deadlyDelay is the time from the arrival of such a call to the end.
+	deadlyDelay = 20 * time.Millisecond
+)
+
 const (
 	announceInterval = 300 * time.Millisecond
 	announceTimeout  = 500 * time.Millisecond
@@ -58,6 +68,9 @@
 	// Limit is how many calls per second the target accepts, as it states in its
 	// responses and checks, or 0 if it states no limit.
 	Limit float64
+	// Deadly makes the process end when it serves a call whose path ends with
+	// DeadlyPath.
+	Deadly bool
 }
 
 type responder struct {
@@ -186,6 +199,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if r.options.Deadly && strings.HasSuffix(request.URL.Path, DeadlyPath) {
+		time.Sleep(deadlyDelay)
+		os.Exit(DeadlyStatus)
+	}
 	if r.options.Delay > 0 {
 		select {
 		case <-time.After(r.options.Delay):
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -136,7 +136,7 @@
 	if c.adapter != nil {
 		c.operators = newServer(c.adapter.Operators(service))
 	}
-	c.platform = newServer(platform.NewHandler(c.registry, c.unreadyReason, nil))
+	c.platform = newServer(platform.NewHandler(c.registry, c.unreadyReason, nil, nil))
 	return nil
 }
 
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -26,6 +26,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/linker"
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/internal/quarantiner"
 	"github.com/fireflymoor/fireflymoor/internal/sequencer"
 	"github.com/fireflymoor/fireflymoor/internal/waiter"
 )
@@ -58,6 +59,7 @@
 	dialer      *dialer.Dialer
 	sequencer   *sequencer.Sequencer
 	coordinator *coordinator.Coordinator
+	quarantine  *quarantiner.Quarantiner
 	client      *linker.Client
 	random      *rand.Rand
 	boot        uint64
@@ -98,6 +100,8 @@
 		boot:      uint64(now.UnixNano()),
 		listeners: map[string]net.Listener{},
 		logWriter: logWriter,
+
+		quarantine: quarantiner.New(),
 	}
 	m.panics = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "fireflymoor_panics_total",
@@ -176,6 +180,8 @@
 		Random:    m.random,
 		Log:       m.log,
 		Watcher:   watcher,
+
+		Quarantiner: m.quarantine,
 	}, time.Now())
 }
 
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
@@ -152,7 +153,10 @@
 		Team:        settings.Team,
 		CallAddress: settings.AdvertisedCalls,
 	}, n)
-	n.registry.MustRegister(n.targets, n.tracker)
+	n.registry.MustRegister(n.targets, n.tracker, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "fireflymoor_quarantined_requests",
+		Help: "Requests that are refused or on trial because targets have ended under them.",
+	}, func() float64 { return float64(n.quarantine.Held(time.Now())) }))
 	n.initServers()
 	return n, nil
 }
@@ -163,6 +167,7 @@
 	local := target.NewServer(n.targets, n.dialect(), n.dialer, bulk, sender.WithBudget(n.heads))
 	local.UseMetrics(target.NewMetrics(n.registry))
 	local.UseNeighbors(n.freeNeighbor)
+	local.UseQuarantine(n.quarantine)
 	var claims caller.Claims
 	if n.settings.Keys {
 		claims = n.claims.claimer
@@ -185,6 +190,7 @@
 		Claims:       claims,
 		Quota:        n.limits,
 		Shaper:       bulk,
+		Quarantine:   n.quarantine,
 		Evidence:     n.evidence,
 		IsCurrent:    func() bool { return n.activity.isCurrent(time.Now()) },
 		Metrics:      caller.NewMetrics(n.registry),
@@ -199,7 +205,7 @@
 	calls := receiver.New(n.coordinator.IsLocalBoot, local, registrar.New(), n.rateLimitedLog())
 	calls.UseMetrics(receiver.NewMetrics(n.registry))
 	n.calls = newServer(n.packer.Handler(calls))
-	n.platform = newServer(platform.NewHandler(n.registry, n.unreadyReason, n.targets))
+	n.platform = newServer(platform.NewHandler(n.registry, n.unreadyReason, n.targets, n.quarantine))
 	if n.adapter != nil {
 		n.ready = newServer(n.adapter.Ready(n.unreadyReason))
 		n.announcements = newServer(n.adapter.Announcements(n.targets))
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -64,6 +64,7 @@
 	renewedAt    time.Time
 	own          ownLoad
 	limit        statedLimit
+	end          targetEnd
 }
 
 // record is the latest state received of a target. It is kept after the target is
--- a/internal/target/server.go
+++ b/internal/target/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -15,6 +16,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/detector"
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/limiter"
+	"github.com/fireflymoor/fireflymoor/internal/quarantiner"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
 	"github.com/fireflymoor/fireflymoor/internal/shaper"
 )
@@ -37,6 +39,9 @@
 	transport *sender.Transport
 	shaper    *shaper.Shaper
 	metrics   *Metrics
+	// quarantine holds the requests under which targets have ended, or is nil.
+	quarantine *quarantiner.Quarantiner
+	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	// findNeighbor returns the id of a target with a free slot, or is nil.
 	findNeighbor func(service string) string
 
@@ -67,6 +72,7 @@
 		dialect:   dialect,
 		transport: sender.NewTransport(dialer.TrafficDialFunc(dialTimeout), idleTimeout, options...),
 		shaper:    shaper,
+		dial:      dialer.TrafficDialFunc(dialTimeout),
 		running:   map[string]*runningCalls{},
 	}
 }
@@ -163,12 +169,18 @@
 		t.limiter.Return(ticket)
 		return nil, fireflymoor.NotRun, errors.Wrapf(fireflymoor.ErrCallerLeft, "target %s: take a slot", target.ID)
 	}
+	v, err := s.suspect(in)
+	if err != nil {
+		t.limiter.Return(ticket)
+		return nil, fireflymoor.NotRun, err
+	}
 	untrack := s.trackRunning(in.Header)
 	release := func() {
 		untrack()
 		t.limiter.Release(ticket, time.Since(started))
 	}
-	response, outcome, err := s.send(ctx, t, in)
+	response, outcome, err := s.send(ctx, t, in, &v)
+	v.release()
 	if err != nil {
 		if in.Context().Err() != nil {
 			s.metrics.observeDeparture(stageTarget)
@@ -225,7 +237,7 @@
 }
 
 // send sends a call to a target after a slot has been acquired for it.
-func (s *Server) send(ctx context.Context, t *localTarget, in *http.Request) (*http.Response, fireflymoor.Outcome, error) {
+func (s *Server) send(ctx context.Context, t *localTarget, in *http.Request, v *suspicion) (*http.Response, fireflymoor.Outcome, error) {
 	out := sender.Prepare(ctx, in, t.address, in.Body, in.ContentLength)
 	origin := out.Header.Get(annotator.Origin)
 	tenant := out.Header.Get(annotator.Tenant)
@@ -241,6 +253,9 @@
 	s.metrics.observeSent(limit > 0)
 	response, outcome, err := sender.Send(s.transport, out)
 	if err != nil {
+		if outcome == fireflymoor.Unknown {
+			err = s.observeFailure(ctx, t, in, v, err)
+		}
 		return nil, outcome, err
 	}
 	verdict := s.dialect.ReadResponse(out.Header, response.Header, response.StatusCode)
@@ -249,6 +264,7 @@
 	}
 	t.own.record(verdict.Load, time.Now())
 	if verdict.Err == nil && !verdict.NotRun {
+		s.observeAnswer(in, v)
 		s.setLoad(t, response.Header)
 		return response, fireflymoor.Answered, nil
 	}
--- a/outcome.go
+++ b/outcome.go
@@ -16,6 +16,9 @@
 	// ErrRefusedByTarget marks a refusal by the target itself, after the call
 	// reached it.
 	ErrRefusedByTarget = errors.New("refused by the target")
+	// ErrQuarantined marks a refusal of a call because targets have ended under the same
+	// request.
+	ErrQuarantined = errors.New("targets have ended under this request")
 	// ErrDraining marks a refusal because the target is draining and gets no new
 	// work.
 	ErrDraining = errors.New("the target gets no new work")
@@ -49,6 +52,18 @@
 	return target == ErrBusy
 }
 
+// An EndedError is the error of a call whose target has ended.
+type EndedError struct {
+	// End identifies the end of the target. It is the same for all calls that the
+	// target was serving.
+	End uint64
+}
+
+// Error implements error.
+func (e *EndedError) Error() string {
+	return "the target has ended"
+}
+
 // An Outcome is the outcome of a call or of one try of it.
 type Outcome int
 
