internal/distributor: let members that lag get a version while others follow quickly

What callers saw: a confirmed change that was not in force in time (CONFIG), on sites with thin links and versions in quick succession. Cause: a member that lacks more than 16 versions, or holds none, asks for a manifest and then for its pieces. Its neighbor had the pieces of its newest two versions only. If the request took longer than it takes for two versions to follow, the response was incomplete, and the member began anew with the next neighbor. A response after the time-out was discarded, as its manifest was forgotten. So a member on a link with a queue held nothing until the changes stopped. Class of fault: what is asked for in two steps is gone at the second one. Change: a neighbor keeps the versions whose manifests it has sent for 4 s, four at most, and lends the same one again while recent updates lead on from it; 64 updates are kept, 64 KiB at most, so that a member that has caught up stays so; a member goes on accepting the pieces of earlier manifests. A request for the updates after version 0 always gets a whole version, which also ends the suspected fault of a bad update that is sent again.

--- a/internal/coordinator/handler.go
+++ b/internal/coordinator/handler.go
@@ -186,7 +186,7 @@
 	case *messenger.Frame_Head:
 		c.Apply(c.distributor.OnHead(name, body.Head, now))
 	case *messenger.Frame_ManifestRequest:
-		c.Apply(c.distributor.OnManifestRequest(name, body.ManifestRequest.GetHeld()))
+		c.Apply(c.distributor.OnManifestRequest(name, body.ManifestRequest.GetHeld(), now))
 	case *messenger.Frame_Updates:
 		c.Apply(c.distributor.OnUpdates(name, body.Updates.GetUpdates(), now))
 	case *messenger.Frame_Manifest:
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -5,6 +5,7 @@
 package distributor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflymoor/fireflymoor"
@@ -23,6 +24,15 @@
 	// responseSmoothing is the weight of a response that came faster than the
 	// recent ones in their time.
 	responseSmoothing = 0.3
+	// lentTime is how long a version is kept for a neighbour after its manifest was sent.
+	// The request for its pieces may take a response time that is still waited for.
+	lentTime = 2 * maxRequestTimeout
+	// maxLent bounds the number of versions kept so, and maxPending that of versions
+	// whose pieces may still arrive.
+	maxLent    = 4
+	maxPending = 4
+	// maxLentLag is how many versions a lent version may be behind to be lent again.
+	maxLentLag = 8
 )
 
 // An OutgoingFrame is one frame to send to one neighbour.
@@ -62,8 +72,12 @@
 	announcements int
 	// responseTime is the time of recent responses.
 	responseTime time.Duration
-	// pendingManifest is the version whose pieces are being fetched, or nil.
-	pendingManifest *fireflymoor.Manifest
+	// pendingManifests are the versions whose pieces are being fetched, the oldest first.
+	// The response to a request that timed out may still arrive.
+	pendingManifests []fireflymoor.Manifest
+	// lent are the versions whose manifests were sent to neighbors that are going to
+	// request the pieces, the oldest first.
+	lent []lentVersion
 	// pendingPeer is the neighbour whose response is awaited, or "".
 	pendingPeer string
 	requestedAt time.Time
@@ -71,6 +85,13 @@
 	effects Effects
 }
 
+// lentVersion is a version that is kept for neighbors that fetch it.
+type lentVersion struct {
+	manifest fireflymoor.Manifest
+	pieces   map[fireflymoor.Hash]string
+	at       time.Time
+}
+
 // peer is what is known of a neighbour.
 type peer struct {
 	// version is the newest version that it announced.
@@ -224,6 +245,7 @@
 // Tick expires a request that was not answered in time, and sends a request to
 // another neighbour if there is one.
 func (d *Distributor) Tick(now time.Time) Effects {
+	d.lent = slices.DeleteFunc(d.lent, func(l lentVersion) bool { return now.Sub(l.at) >= lentTime })
 	timeout := min(max(time.Duration(responseFactor*float64(d.responseTime)), requestTimeout), maxRequestTimeout)
 	if d.pendingPeer != "" && now.Sub(d.requestedAt) >= timeout {
 		d.recordFailure(d.pendingPeer)
@@ -236,7 +258,6 @@
 // requestNewest requests the missing updates from the neighbour with the newest
 // version.
 func (d *Distributor) requestNewest(now time.Time) {
-	d.pendingManifest = nil
 	if peer := d.newestPeer(); peer != "" {
 		d.requestUpdates(peer, d.manifest.Number(), now)
 	}
@@ -310,7 +331,9 @@
 	d.previousPieces = d.pieces
 	d.pieces = pieces
 	d.manifest = manifest
-	d.pendingManifest = nil
+	d.pendingManifests = slices.DeleteFunc(d.pendingManifests, func(pending fireflymoor.Manifest) bool {
+		return pending.Number() <= manifest.Number()
+	})
 	d.packed = map[packKey][]byte{}
 	d.effects.Stored = true
 	for name, p := range d.peers {
@@ -332,8 +355,9 @@
 }
 
 // OnManifestRequest responds with the updates after the version that the
-// neighbour holds, or with the full manifest if they are not all available.
-func (d *Distributor) OnManifestRequest(peer string, held uint64) Effects {
+// neighbour holds, or with a full manifest if they are not all available or it holds none.
+// The pieces of that version are kept for a while, as the neighbour requests them next.
+func (d *Distributor) OnManifestRequest(peer string, held uint64, now time.Time) Effects {
 	if updates := d.updatesSince(held); len(updates) > 0 {
 		d.send(peer, &messenger.Frame{
 			Body: &messenger.Frame_Updates{
@@ -346,12 +370,35 @@
 	}
 	d.send(peer, &messenger.Frame{
 		Body: &messenger.Frame_Manifest{
-			Manifest: messenger.FromManifest(d.manifest),
+			Manifest: messenger.FromManifest(d.lend(now)),
 		},
 	})
 	return d.takeEffects()
 }
 
+// lend returns the version to send to a neighbour that needs a whole one. While versions
+// follow each other quickly it is one that was lent before and that recent updates
+// lead on from, so that few versions are kept and packed.
+func (d *Distributor) lend(now time.Time) fireflymoor.Manifest {
+	if last := len(d.lent) - 1; last >= 0 {
+		number := d.lent[last].manifest.Number()
+		behind := d.manifest.Number() - number
+		if behind == 0 || behind <= maxLentLag && len(d.updatesSince(number)) > 0 {
+			d.lent[last].at = now
+			return d.lent[last].manifest
+		}
+	}
+	if len(d.lent) >= maxLent {
+		d.lent = slices.Delete(d.lent, 0, 1)
+	}
+	d.lent = append(d.lent, lentVersion{
+		manifest: d.manifest,
+		pieces:   d.pieces,
+		at:       now,
+	})
+	return d.manifest
+}
+
 func (d *Distributor) send(peer string, frame *messenger.Frame) {
 	d.effects.Sends = append(d.effects.Sends, OutgoingFrame{
 		Peer:  peer,
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -113,7 +113,7 @@
 	case *messenger.Frame_Head:
 		n.enqueue(d.to, m.OnHead(peer, body.Head, n.now))
 	case *messenger.Frame_ManifestRequest:
-		n.enqueue(d.to, m.OnManifestRequest(peer, body.ManifestRequest.GetHeld()))
+		n.enqueue(d.to, m.OnManifestRequest(peer, body.ManifestRequest.GetHeld(), n.now))
 	case *messenger.Frame_Updates:
 		n.enqueue(d.to, m.OnUpdates(peer, body.Updates.GetUpdates(), n.now))
 	case *messenger.Frame_Manifest:
@@ -216,7 +216,7 @@
 	d := New(failingAsserter{TB: t})
 	d.OnPeerUp("peer", messenger.HeadOf(manifest), now)
 	d.OnManifest("peer", messenger.FromManifest(manifest), now)
-	is.Equal(d.pendingManifest.Number(), uint64(1)) // its pieces are requested
+	is.Equal(d.pendingManifests[0].Number(), uint64(1)) // its pieces are requested
 	effects := d.OnPieces("peer", &messenger.Pieces{
 		Pieces: []*messenger.Piece{
 			{
@@ -241,7 +241,7 @@
 	d.Store(manifest, pieces)
 	manifest, pieces = s.change("team", "[values]\n"+long+"timeout = 2s\n")
 	d.Store(manifest, pieces)
-	effects := d.OnManifestRequest("peer", manifest.Number()-1)
+	effects := d.OnManifestRequest("peer", manifest.Number()-1, time.Unix(1, 0))
 	size := proto.Size(effects.Sends[0].Frame)
 	t.Logf("a change of one value among %d bytes travels in %d bytes", len(long), size)
 	is.True(size < 200)
@@ -318,7 +318,7 @@
 	now = now.Add(requestTimeout)
 	member.Tick(now)
 	is.True(member.pendingPeer != firstPeer)
-	response := holder.OnManifestRequest("member", manifest.Number())
+	response := holder.OnManifestRequest("member", manifest.Number(), now)
 	is.Equal(len(response.Sends), 1)
 	effects := member.OnUpdates(firstPeer, response.Sends[0].Frame.GetUpdates().GetUpdates(), now)
 	is.True(effects.Stored)
@@ -369,7 +369,7 @@
 			now = now.Add(tick)
 			requests += countRequests(member.Tick(now))
 		}
-		response := holder.OnManifestRequest("member", held)
+		response := holder.OnManifestRequest("member", held, now)
 		member.OnUpdates(first, response.Sends[0].Frame.GetUpdates().GetUpdates(), now)
 		is.Equal(member.Manifest().Number(), manifest.Number())
 	}
--- a/internal/distributor/pull.go
+++ b/internal/distributor/pull.go
@@ -1,6 +1,7 @@
 package distributor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflymoor/fireflymoor"
@@ -38,7 +39,7 @@
 // its timeout. The version is stored only if every piece is present and has the
 // hash that the manifest gives.
 func (d *Distributor) OnPieces(peer string, response *messenger.Pieces, now time.Time) Effects {
-	if d.pendingManifest == nil {
+	if len(d.pendingManifests) == 0 {
 		return Effects{}
 	}
 	received := map[fireflymoor.Hash]string{}
@@ -50,7 +51,7 @@
 			packed[packKey{hash: hash, base: base}] = p.GetContent()
 		}
 	}
-	complete := d.hasAllPieces(received)
+	manifest, complete := d.completedBy(received)
 	if !complete && peer != d.pendingPeer {
 		return Effects{}
 	}
@@ -61,12 +62,23 @@
 		return d.takeEffects()
 	}
 	d.recordResponse(peer, now)
-	d.store(*d.pendingManifest, received, nil)
+	d.store(manifest, received, nil)
 	d.packed = packed
 	d.requestNewest(now)
 	return d.takeEffects()
 }
 
+// completedBy returns the newest pending version of which every piece is held or
+// received. It reports false if there is none.
+func (d *Distributor) completedBy(received map[fireflymoor.Hash]string) (fireflymoor.Manifest, bool) {
+	for _, manifest := range slices.Backward(d.pendingManifests) {
+		if d.hasAllPieces(manifest, received) {
+			return manifest, true
+		}
+	}
+	return fireflymoor.Manifest{}, false
+}
+
 func (d *Distributor) unpack(p *messenger.Piece) (string, fireflymoor.Hash, bool) {
 	base, _ := fireflymoor.HashFrom(p.GetBase())
 	content, err := compressor.Unpack(p.GetContent(), d.pieces[base])
@@ -76,10 +88,9 @@
 	return content, fireflymoor.HashOf(content), true
 }
 
-// hasAllPieces reports whether every piece of the pending manifest is held or
-// received.
-func (d *Distributor) hasAllPieces(received map[fireflymoor.Hash]string) bool {
-	for _, hash := range d.pendingManifest.Pieces() {
+// hasAllPieces reports whether every piece of a manifest is held or received.
+func (d *Distributor) hasAllPieces(manifest fireflymoor.Manifest, received map[fireflymoor.Hash]string) bool {
+	for _, hash := range manifest.Pieces() {
 		_, held := d.pieces[hash]
 		_, fetched := received[hash]
 		if !held && !fetched {
@@ -92,7 +103,10 @@
 // fetchPieces requests the missing pieces of a version. It stores the version at
 // once if no piece is missing.
 func (d *Distributor) fetchPieces(peer string, manifest fireflymoor.Manifest, now time.Time) {
-	d.pendingManifest = &manifest
+	if len(d.pendingManifests) >= maxPending {
+		d.pendingManifests = slices.Delete(d.pendingManifests, 0, 1)
+	}
+	d.pendingManifests = append(d.pendingManifests, manifest)
 	pull := &messenger.Pull{}
 	for _, e := range manifest.Teams() {
 		old, _ := d.manifest.Team(e.Team)
@@ -145,13 +159,20 @@
 	return d.takeEffects()
 }
 
-// lookup returns a piece of the version held or of the one before.
+// lookup returns a piece of the version held, of the one before or of a lent one.
 func (d *Distributor) lookup(hash fireflymoor.Hash) (string, bool) {
 	if content, ok := d.pieces[hash]; ok {
 		return content, true
 	}
-	content, ok := d.previousPieces[hash]
-	return content, ok
+	if content, ok := d.previousPieces[hash]; ok {
+		return content, true
+	}
+	for i := range d.lent {
+		if content, ok := d.lent[i].pieces[hash]; ok {
+			return content, true
+		}
+	}
+	return "", false
 }
 
 // pack returns a requested piece in its packed form, or nil if it is not
--- a/internal/distributor/update.go
+++ b/internal/distributor/update.go
@@ -1,6 +1,7 @@
 package distributor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflymoor/fireflymoor"
@@ -8,9 +9,13 @@
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 )
 
-// maxRecentUpdates bounds the updates kept for neighbours that lag by a few
-// versions.
-const maxRecentUpdates = 16
+const (
+	// maxRecentUpdates bounds the updates kept for neighbours that lag by some versions,
+	// and maxRecentBytes their size. Applying an update takes milliseconds for a large
+	// configuration, and a whole version a second of a link with 1 Mbit/s.
+	maxRecentUpdates = 64
+	maxRecentBytes   = 64 << 10
+)
 
 // recordUpdate appends the update that leads to the next version to the recent
 // ones. A nil update clears them, as they would no longer be consecutive.
@@ -19,15 +24,30 @@
 		d.recentUpdates = nil
 		return
 	}
-	first := max(len(d.recentUpdates)+1-maxRecentUpdates, 0)
-	d.recentUpdates = append(d.recentUpdates[first:len(d.recentUpdates):len(d.recentUpdates)], update)
+	updates := append(slices.Clip(d.recentUpdates), update)
+	size := 0
+	for _, u := range updates {
+		size += sizeOf(u)
+	}
+	for len(updates) > 1 && (len(updates) > maxRecentUpdates || size > maxRecentBytes) {
+		size -= sizeOf(updates[0])
+		updates = updates[1:]
+	}
+	d.recentUpdates = updates
+}
+
+// sizeOf returns the size of the content of an update, in bytes.
+func sizeOf(u *messenger.Update) int {
+	return len(u.GetTemplate()) + len(u.GetValues()) + len(u.GetRollouts())
 }
 
 // updatesSince returns the updates that lead from a version to the one held, or
 // nil if they are not all available.
 func (d *Distributor) updatesSince(held uint64) []*messenger.Update {
 	for i, u := range d.recentUpdates {
-		if u.GetNumber() == held+1 {
+		// A neighbour that holds no version, or that could not apply an update, asks for
+		// the updates after version 0.
+		if held > 0 && u.GetNumber() == held+1 {
 			return d.recentUpdates[i:]
 		}
 	}
@@ -80,8 +100,7 @@
 // OnUpdates handles requested updates, including a response that arrives after
 // its timeout. An update is applied only if the resulting version has the hash
 // that the update gives. Otherwise the full manifest is requested, unless the
-// response was late. The request is for the updates after version 0: a neighbour
-// that still has all updates since the first version sends these instead.
+// response was late.
 func (d *Distributor) OnUpdates(peer string, updates []*messenger.Update, now time.Time) Effects {
 	late := peer != d.pendingPeer
 	if !late {
