cmd/fireflybench: let the soak send requests that end their targets

What callers saw: a request that ended its targets one after the other. Change: stand-in targets can end at calls with deadly paths, and record it. The soak sends three such requests (GET, POST, PUT) again and again through all nodes beside all other faults, starts the targets again, and counts the ends: three in each of the zones at most, as a zone that is cut off knows only its own.

--- a/cmd/fireflybench/fleet.go
+++ b/cmd/fireflybench/fleet.go
@@ -73,6 +73,8 @@
 	targetDelay        time.Duration
 	// limits has the calls per second that the first targets state to accept.
 	limits []float64
+	// deadly lets targets end at calls with deadly paths.
+	deadly bool
 	// keyWindow is how long idempotency keys are stored, or 0 for the default.
 	keyWindow time.Duration
 }
@@ -189,6 +191,9 @@
 		if i < len(shape.limits) {
 			options = []string{"--limit", strconv.FormatFloat(shape.limits[i], 'f', -1, 64)}
 		}
+		if shape.deadly {
+			options = append(options, "--deadly")
+		}
 		target, err := f.StartTarget(node, serviceName(i%shape.services), targetSlots, shape.targetDelay, options...)
 		f.targetProcesses = append(f.targetProcesses, target)
 		return err
--- a/cmd/fireflybench/soak.go
+++ b/cmd/fireflybench/soak.go
@@ -64,6 +64,7 @@
 	Calm       auditor.Report `json:"calm"`
 	Changes    int            `json:"changes"`
 	Accepted   int            `json:"accepted"`
+	DeadlyEnds map[string]int `json:"deadly-ends"`
 	Healed     time.Duration  `json:"healed-ns"`
 	LastChange time.Duration  `json:"last-change-ns"`
 	Violations []string       `json:"violations"`
@@ -100,6 +101,7 @@
 		targetsAsProcesses: true,
 		targetDelay:        soakTargetDelay,
 		limits:             soakLimits,
+		deadly:             true,
 
 		keyWindow: keyWindow,
 		relay: func(listen, to string) error {
@@ -171,15 +173,21 @@
 	gets := r.startCallers(http.MethodGet, false)
 	keyed := r.startCallers(http.MethodPost, true)
 	workload := startChangeWorkload(r.fleet, operatorCount)
+	deadly := startDeadlyRequests(r.fleet, r.injector)
 	faultContext, cancel := context.WithTimeout(ctx, r.command.For)
 	defer cancel()
 	r.result.Faults = r.injector.Run(faultContext, r.result.Seed)
+	violations, err := deadly.end(r.command.Zones)
+	r.result.DeadlyEnds = deadly.ends
+	r.result.Violations = append(r.result.Violations, violations...)
+	if err != nil {
+		return err
+	}
 	healed := time.Now()
 	r.printProgress("all faults removed")
 	if err := r.checkRecovery(ctx, healed, workload); err != nil {
 		r.addViolation("%s", err)
 	}
-	var err error
 	if r.result.Posts, err = posts.End(r.fleet.RunsFile()); err != nil {
 		return err
 	}
@@ -310,6 +318,7 @@
 	fmt.Printf("may repeat:      %s\n", result.Gets)
 	fmt.Printf("with a key:      %s\n", result.Keyed)
 	fmt.Printf("afterwards:      %s\n", result.Calm)
+	fmt.Printf("targets ended by requests: %v\n", result.DeadlyEnds)
 	fmt.Printf("changes: %d sent, %d accepted; all in force %s after the last fault, the next change in %s\n",
 		result.Changes, result.Accepted, result.Healed.Round(time.Millisecond), result.LastChange.Round(time.Millisecond))
 	for _, v := range result.Violations {
--- a/internal/injector/injector.go
+++ b/internal/injector/injector.go
@@ -169,6 +169,23 @@
 	return false
 }
 
+// Revive restarts a process that has ended by itself, unless a fault has it. It reports
+// whether it did.
+func (d *Injector) Revive(p *launcher.Process) bool {
+	if !d.reserve(p) {
+		return false
+	}
+	defer d.release(p)
+	select {
+	case <-p.Ended():
+		d.beginDisruption(p)
+		d.restart(p)
+		return true
+	default:
+		return false
+	}
+}
+
 // restart starts a process that has ended, and releases it.
 func (d *Injector) restart(p *launcher.Process) {
 	if err := d.options.Cluster.Restart(p); err != nil {
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -36,6 +36,9 @@
 	DeadlyPath = "/deadly"
 	// DeadlyStatus is the exit status of a stand-in that such a call has ended.
 	DeadlyStatus = 86
+	// EndPrefix precedes the path of such a call in the line that the stand-in appends to
+	// the file of runs.
+	EndPrefix = "ended "
 	// deadlyDelay is the time from the arrival of such a call to the end.
 	deadlyDelay = 20 * time.Millisecond
 )
@@ -201,6 +204,7 @@
 	}
 	if r.options.Deadly && strings.HasSuffix(request.URL.Path, DeadlyPath) {
 		time.Sleep(deadlyDelay)
+		r.recordRun(EndPrefix + request.URL.Path)
 		os.Exit(DeadlyStatus)
 	}
 	if r.options.Delay > 0 {
