internal/quarantiner: keep simultaneous ends apart for as long as repeated ones

Cause: a request whose targets were all serving it at the same time was tried again after 2 s, while targets were not back, and nodes chose the trial target among those that they had not ejected, each its own. Change: it is refused for 10 s like one that was sent again; what was at work elsewhere meanwhile clears an innocent one within the time of a response. The trial target is chosen among all ready targets.

--- a/internal/caller/candidates.go
+++ b/internal/caller/candidates.go
@@ -39,6 +39,9 @@
 // pick chooses one of the usable targets. It excludes ejected targets, up to the
 // share of the targets that the limits allow.
 func (h *Handler) pick(c *call, now time.Time) (fireflymoor.Pick, bool) {
+	if c.onTrial {
+		return c.pickTrial(h.usable(c))
+	}
 	share := c.view.Configuration().Limits().EjectShare
 	eligible := h.options.Ejector.Filter(h.usable(c), share, now)
 	candidates := make([]fireflymoor.Candidate, 0, len(eligible))
@@ -49,9 +52,6 @@
 		candidates = c.keepInZone(candidates)
 	}
 	candidates = notStalled(candidates)
-	if c.onTrial {
-		return c.pickTrial(candidates)
-	}
 	if h.isEven(c) {
 		return h.pickEven(c, candidates, now)
 	}
--- a/internal/caller/quarantine.go
+++ b/internal/caller/quarantine.go
@@ -95,12 +95,13 @@
 }
 
 // pickTrial returns the target at which a request on trial is tried, the same one at all
-// nodes with the same targets. Its node lets the request run once at a time.
-func (c *call) pickTrial(candidates []fireflymoor.Candidate) (fireflymoor.Pick, bool) {
+// nodes that know the same targets, whatever they have seen of them. Its node lets the
+// request run once at a time.
+func (c *call) pickTrial(targets []fireflymoor.Target) (fireflymoor.Pick, bool) {
 	best := -1
 	var highest quarantiner.Fingerprint
-	for i := range candidates {
-		if weight := c.requestPrint.Weight(candidates[i].Target.ID); best < 0 || weight > highest {
+	for i := range targets {
+		if weight := c.requestPrint.Weight(targets[i].ID); best < 0 || weight > highest {
 			best, highest = i, weight
 		}
 	}
@@ -108,7 +109,7 @@
 		return fireflymoor.Pick{}, false
 	}
 	return fireflymoor.Pick{
-		Target: candidates[best].Target,
+		Target: targets[best],
 		Reason: reasonTrial,
 	}, true
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -28,14 +28,13 @@
 	// that end for other reasons rarely do so under the same request twice.
 	suspicionTime = 2 * time.Minute
 	// pauseTime is how long a request is refused if it was sent again after an end and a
-	// target ended again. It gives targets the time to come back before the trial may
-	// end one more. holdTime is the same from maxEnds on.
+	// target ended again, or if maxEnds targets were serving it at the same time, as they
+	// may be for a popular request if many targets end at once. It gives targets the
+	// time to come back before the trial may end one more.
 	pauseTime = 10 * time.Second
-	holdTime  = 10 * time.Minute
-	// unsureTime is how long a request with maxEnds is refused if all its targets were
-	// at work at the same time, as they are for a popular request if many targets end at
-	// once.
-	unsureTime = 2 * time.Second
+	// holdTime is how long a request with maxEnds is refused that was sent again after
+	// one of them.
+	holdTime = 10 * time.Minute
 	// forgetTime is how long a refused request is remembered after its last end. Until
 	// then it gets one trial at a time.
 	forgetTime = time.Hour
@@ -302,9 +301,7 @@
 	switch {
 	case len(r.ends) >= maxEnds && repeated:
 		return r.last().Add(holdTime)
-	case len(r.ends) >= maxEnds:
-		return r.last().Add(unsureTime)
-	case len(r.ends) >= trialEnds && repeated:
+	case len(r.ends) >= maxEnds, len(r.ends) >= trialEnds && repeated:
 		return r.last().Add(pauseTime)
 	}
 	return time.Time{}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -81,13 +81,13 @@
 }
 
 // TestSimultaneousEnds checks that a popular request that many targets were serving when
-// they ended at once gets a trial soon.
+// they ended at once gets a trial much sooner than one that was sent again.
 func TestSimultaneousEnds(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
 	f.report(false, 1, 2, 3, 4, 5, 6)
 	is.Equal(f.decision(), Refused)
-	f.now = f.now.Add(unsureTime)
+	f.now = f.now.Add(pauseTime)
 	is.Equal(f.decision(), Trial)
 }
 
