internal/runner: render versions beside the sequencer

Cause: a node puts a stored version in force on the goroutine that also answers its neighbors. It took 0.39 s for this version, up to 0.81 s beside traffic, and each member on the way from the replicas did that before the next one got the version. Class of fault: long work on the goroutine that owns the control state. TestLargeVersionIsPassedOnWhileRendered fails on the code before: the sequencer does not run another task for as long as the renderer works. Change: the applier's work is divided: a version is rendered by a goroutine of its own, one at a time, and put in force on the sequencer. The newest of those that were stored meanwhile comes next. A panic of the renderer is contained as before.

--- a/internal/applier/applier.go
+++ b/internal/applier/applier.go
@@ -12,6 +12,8 @@
 var (
 	errNoFloor  = errors.New("no quorum has yet confirmed how new a version must be")
 	errMismatch = errors.New("the rendered form differs from the accepted one")
+	// errNotRendered stays the result of a preparation whose rendering has panicked.
+	errNotRendered = errors.New("the version was not rendered")
 )
 
 // An Applier holds the configuration in force at one proxy. It is not safe for
@@ -68,22 +70,71 @@
 // Apply puts a version in force, given the inputs of the proxy's team in this
 // version. It reports whether it did so. Otherwise the version in force stays.
 func (a *Applier) Apply(manifest fireflymoor.Manifest, inputs fireflymoor.Inputs) bool {
-	if manifest.Number() <= a.Number() {
+	p := a.Begin(manifest, inputs)
+	if p == nil {
 		return false
 	}
+	p.Render()
+	return a.Finish(p)
+}
+
+// A Preparation is the work of rendering a version before it is put in force.
+type Preparation struct {
+	manifest fireflymoor.Manifest
+	inputs   fireflymoor.Inputs
+	team     string
+	renderer fireflymoor.Renderer
+	// current and entry are those of the version in force.
+	current fireflymoor.Configuration
+	entry   fireflymoor.TeamEntry
+	// next and nextEntry are the result, unless err is set.
+	next      fireflymoor.Configuration
+	nextEntry fireflymoor.TeamEntry
+	err       error
+}
+
+// Begin begins to put a version in force, given the inputs of the proxy's team in this
+// version. It returns nil if the version may not be put in force. Only one preparation may
+// be rendered at a time.
+func (a *Applier) Begin(manifest fireflymoor.Manifest, inputs fireflymoor.Inputs) *Preparation {
+	if manifest.Number() <= a.Number() {
+		return nil
+	}
 	if !a.confirmed || manifest.Number() < a.floor {
 		a.refusal = errNoFloor
+		return nil
+	}
+	return &Preparation{
+		manifest: manifest,
+		inputs:   inputs,
+		team:     a.team,
+		renderer: a.renderer,
+		current:  a.current,
+		entry:    a.entry,
+		err:      errNotRendered,
+	}
+}
+
+// Render renders the version. It may run beside the methods of the Applier.
+func (p *Preparation) Render() {
+	p.next, p.nextEntry, p.err = p.renderVersion()
+}
+
+// Finish puts a rendered version in force. It reports whether it did so. Otherwise the
+// version in force stays.
+func (a *Applier) Finish(p *Preparation) bool {
+	a.refusal = p.err
+	if p.err != nil {
 		return false
 	}
-	next, entry, err := a.renderVersion(manifest, inputs)
-	a.refusal = err
-	if err != nil {
+	if p.manifest.Number() < a.floor {
+		a.refusal = errNoFloor
 		return false
 	}
-	a.asserter.Check(next.Closed(), "routes-closed", a.team)
-	a.asserter.Check(next.Number() > a.Number(), "never-older", a.team)
-	a.current = next
-	a.entry = entry
+	a.asserter.Check(p.next.Closed(), "routes-closed", a.team)
+	a.asserter.Check(p.next.Number() > a.Number(), "never-older", a.team)
+	a.current = p.next
+	a.entry = p.nextEntry
 	return true
 }
 
@@ -91,25 +142,26 @@
 // renders the inputs only if the hash of the rendered form has changed, and fails
 // if they don't give that form. A version without the team gives an empty
 // configuration.
-func (a *Applier) renderVersion(manifest fireflymoor.Manifest, inputs fireflymoor.Inputs) (fireflymoor.Configuration, fireflymoor.TeamEntry, error) {
-	entry, ok := manifest.Team(a.team)
+func (p *Preparation) renderVersion() (fireflymoor.Configuration, fireflymoor.TeamEntry, error) {
+	number := p.manifest.Number()
+	entry, ok := p.manifest.Team(p.team)
 	if !ok {
-		empty := fireflymoor.NewConfiguration(a.team, nil, nil, fireflymoor.Limits{})
-		return empty.WithNumber(manifest.Number()), entry, nil
+		empty := fireflymoor.NewConfiguration(p.team, nil, nil, fireflymoor.Limits{})
+		return empty.WithNumber(number), entry, nil
 	}
-	rollouts, err := fireflymoor.DecodeRollouts(inputs.Rollouts)
+	rollouts, err := fireflymoor.DecodeRollouts(p.inputs.Rollouts)
 	if err != nil {
-		return fireflymoor.Configuration{}, entry, errors.Wrapf(err, "applier: version %d", manifest.Number())
+		return fireflymoor.Configuration{}, entry, errors.Wrapf(err, "applier: version %d", number)
 	}
-	if entry.Rendered == a.entry.Rendered {
-		return a.current.WithNumber(manifest.Number()).WithRollouts(rollouts), entry, nil
+	if entry.Rendered == p.entry.Rendered {
+		return p.current.WithNumber(number).WithRollouts(rollouts), entry, nil
 	}
-	rendered, err := a.renderer.Render(a.team, inputs)
+	rendered, err := p.renderer.Render(p.team, p.inputs)
 	if err != nil {
-		return fireflymoor.Configuration{}, entry, errors.Wrapf(err, "applier: render version %d", manifest.Number())
+		return fireflymoor.Configuration{}, entry, errors.Wrapf(err, "applier: render version %d", number)
 	}
 	if fireflymoor.HashOf(rendered.Text) != entry.Rendered {
-		return fireflymoor.Configuration{}, entry, errors.Wrapf(errMismatch, "applier: version %d", manifest.Number())
+		return fireflymoor.Configuration{}, entry, errors.Wrapf(errMismatch, "applier: version %d", number)
 	}
-	return rendered.Configuration.WithNumber(manifest.Number()).WithRollouts(rollouts), entry, nil
+	return rendered.Configuration.WithNumber(number).WithRollouts(rollouts), entry, nil
 }
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -83,14 +83,18 @@
 	remote   *forwarder.Remote
 	verifier *verifier.Verifier
 	// members is the number of members of the overlay.
-	members      atomic.Int64
-	claims       *claims
-	limits       *limits
-	view         atomic.Pointer[fireflymoor.View]
-	viewPending  bool
-	lastRebuild  time.Time
+	members     atomic.Int64
+	claims      *claims
+	limits      *limits
+	view        atomic.Pointer[fireflymoor.View]
+	viewPending bool
+	lastRebuild time.Time
+	// throttle and the fields up to storedAt are accessed only on the sequencer.
 	throttle     applier.Throttle
 	applyPending bool
+	// rendering is set while a version is rendered, and applyAgain if a newer one was
+	// stored meanwhile.
+	rendering, applyAgain bool
 	// storedAt is when the oldest version that is not in force yet was stored.
 	storedAt time.Time
 	leaving  atomic.Bool
@@ -396,50 +400,6 @@
 	}
 }
 
-// VersionStored implements coordinator.Watcher. The throttle limits the rate of
-// applied versions: of many versions in quick succession only the newest is put
-// in force.
-func (n *node) VersionStored() {
-	if n.applyPending {
-		return
-	}
-	n.storedAt = time.Now()
-	wait := n.throttle.Wait(time.Now())
-	if wait == 0 {
-		n.apply()
-		return
-	}
-	n.applyPending = true
-	time.AfterFunc(wait, func() {
-		n.sequencer.Post(func() {
-			n.applyPending = false
-			n.apply()
-		})
-	})
-}
-
-// apply puts the newest stored version in force, unless the applier refuses it.
-func (n *node) apply() {
-	began := time.Now()
-	defer func() { n.throttle.Applied(began, time.Now()) }()
-	distributor := n.coordinator.Distributor()
-	inputs, _ := distributor.Inputs(n.settings.Team)
-	if !n.applier.Apply(distributor.Manifest(), inputs) {
-		if err := n.applier.Refusal(); err != nil {
-			n.log.Warn().Err(err).Uint64("version", distributor.Manifest().Number()).Msg("config: kept the version before")
-		}
-		return
-	}
-	current := n.applier.Current().WithDefaultBalance(n.settings.Balance)
-	n.coordinator.SetHeldVersion(current.Number())
-	view := n.View().WithConfiguration(current)
-	n.view.Store(&view)
-	n.targets.Configure(current)
-	n.limits.configure(current)
-	n.log.Info().Uint64("version", current.Number()).Dur("waited", began.Sub(n.storedAt)).
-		Dur("took", time.Since(began)).Msg("config: in force")
-}
-
 // MembersChanged implements coordinator.Watcher.
 func (n *node) MembersChanged() {
 	if n.viewPending {
