--- a/internal/runner/apply_test.go
+++ b/internal/runner/apply_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,6 +40,8 @@
 
 	is       *is.I
 	renderer *blockingRenderer
+	// release ends the holding of the renderer.
+	release  func()
 	manifest fireflymoor.Manifest
 }
 
@@ -51,6 +54,7 @@
 			release: make(chan struct{}),
 		},
 	}
+	f.release = sync.OnceFunc(func() { close(f.renderer.release) })
 	process, err := NewNode(loader.Settings{
 		Name: "node",
 		Zone: "zone",
@@ -67,6 +71,7 @@
 		f.sequencer.Run(ctx)
 	}()
 	t.Cleanup(func() {
+		f.release()
 		stop()
 		<-done
 		f.close()
@@ -89,9 +94,14 @@
 
 // do runs a task on the sequencer, which must not take long.
 func (f *applyFixture) do(task func()) {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	f.is.NoErr(f.sequencer.Do(ctx, task))
+	done := make(chan error, 1)
+	go func() { done <- f.sequencer.Do(context.Background(), task) }()
+	select {
+	case err := <-done:
+		f.is.NoErr(err)
+	case <-time.After(5 * time.Second):
+		f.is.Fail() // the sequencer is held up
+	}
 }
 
 // waitInForce waits until the newest version is in force.
@@ -113,7 +123,7 @@
 	})
 	f.is.Equal(frames, 1)                                    // the version is passed on
 	f.is.Equal(f.View().Configuration().Number(), uint64(0)) // it is not in force yet
-	close(f.renderer.release)
+	f.release()
 	f.waitInForce()
 }
 
@@ -129,7 +139,7 @@
 	f.renderer.release <- struct{}{}
 	<-f.renderer.began
 	f.do(func() { f.is.Equal(f.applier.Number(), uint64(1)) })
-	close(f.renderer.release)
+	f.release()
 	f.waitInForce()
 	f.is.Equal(f.View().Configuration().Number(), uint64(6))
 }
@@ -143,7 +153,7 @@
 	f.store("two")
 	f.renderer.release <- struct{}{}
 	<-f.renderer.began
-	close(f.renderer.release)
+	f.release()
 	f.waitInForce()
 	f.do(func() { f.is.NoErr(f.applier.Refusal()) })
 }
