internal/target: report each end of a target under its own id

What callers would see, found by reading: an end that is reported 5 ms after it was noticed read its id then. A target that accepted a connection again by then had none, so that requests were reported with the end 0, which all such targets would share. A probe that ended with one caller's departure counted as a living target for the other calls. Change: the id goes along with the report; the probe does not depend on the caller.

--- a/internal/caller/quarantine.go
+++ b/internal/caller/quarantine.go
@@ -27,7 +27,6 @@
 // quarantinedError is the error of a call whose request is refused.
 type quarantinedError struct {
 	request    quarantiner.Fingerprint
-	ends       int
 	retryAfter time.Duration
 }
 
@@ -73,7 +72,6 @@
 		h.options.Metrics.quarantined.Inc()
 		return &quarantinedError{
 			request:    f,
-			ends:       len(admission.Ends),
 			retryAfter: admission.RetryAfter,
 		}
 	}
--- a/internal/target/quarantine.go
+++ b/internal/target/quarantine.go
@@ -126,7 +126,8 @@
 	}
 	if !t.end.reporting {
 		t.end.reporting = true
-		time.AfterFunc(reportDelay, func() { s.reportEnd(t) })
+		id := t.end.id
+		time.AfterFunc(reportDelay, func() { s.reportEnd(t, id) })
 	}
 	return errors.Wrapf(&fireflymoor.EndedError{
 		End: t.end.id,
@@ -141,7 +142,8 @@
 	if now.Sub(t.end.probedAt) < probeValidity {
 		return t.end.id != 0
 	}
-	conn, err := s.dial(ctx, "tcp", t.address)
+	// The result is that of other calls too, so that this one's caller must not end it.
+	conn, err := s.dial(context.WithoutCancel(ctx), "tcp", t.address)
 	t.end.probedAt = time.Now()
 	if conn != nil {
 		_ = conn.Close()
@@ -157,9 +159,9 @@
 }
 
 // reportEnd reports the requests that a target was serving when it ended.
-func (s *Server) reportEnd(t *localTarget) {
+func (s *Server) reportEnd(t *localTarget, id uint64) {
 	t.end.lock.Lock()
-	id, requests, repeats := t.end.id, t.end.requests, t.end.repeats
+	requests, repeats := t.end.requests, t.end.repeats
 	t.end.requests, t.end.repeats, t.end.reporting = nil, nil, false
 	t.end.lock.Unlock()
 	s.registry.log.Warn().Str("target", t.id).Uint64("end", id).Int("requests", len(requests)).
