internal/distributor: send a large version to one neighbor after the other

Cause: the version takes 0.3 s of a link of 1 Mbit/s. A member sent it to all neighbors that asked at once, so that all got it late, and each of them asked the next one after 0.3 s, whose link filled too. Class of fault: a time-out that is shorter than the response takes multiplies the load that makes it late. Change: on a link whose rate is known, large responses are sent one after the other, and one waits; further neighbors are told to ask later and may ask another one. A neighbor that has got the version meanwhile is passed over. Members of other versions ignore the message and time out as before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -83,6 +83,8 @@
 	Log zerolog.Logger
 	// Watcher is notified of changes.
 	Watcher Watcher
+	// LinkRate is the rate of the link, in bits a second, or 0 if it is not known.
+	LinkRate float64
 	// Quarantiner holds the requests under which targets have ended. If it is nil, New
 	// creates one.
 	Quarantiner *quarantiner.Quarantiner
@@ -165,6 +167,7 @@
 		admitter:    admitter.New(admitsPerSecond, admitRetrySpread, rand.New(rand.NewPCG(options.Random.Uint64(), 0))),
 		lastTick:    now,
 	}
+	c.distributor.SetLinkRate(options.LinkRate)
 	c.linker = linker.NewLinker(c, options.Dialer)
 	if c.options.Quarantiner == nil {
 		c.options.Quarantiner = quarantiner.New()
@@ -264,6 +267,11 @@
 	if effects.Stored {
 		c.options.Watcher.VersionStored()
 	}
+	if effects.TickAfter > 0 {
+		time.AfterFunc(effects.TickAfter, func() {
+			c.options.Sequencer.Post(func() { c.Apply(c.distributor.Tick(time.Now())) })
+		})
+	}
 }
 
 // flood queues a fact for all links, except for the one to the member from
--- a/internal/coordinator/handler.go
+++ b/internal/coordinator/handler.go
@@ -192,9 +192,12 @@
 	case *messenger.Frame_Manifest:
 		c.Apply(c.distributor.OnManifest(name, body.Manifest, now))
 	case *messenger.Frame_Pull:
-		c.Apply(c.distributor.OnPull(name, body.Pull))
+		c.Apply(c.distributor.OnPull(name, body.Pull, now))
 	case *messenger.Frame_Pieces:
 		c.Apply(c.distributor.OnPieces(name, body.Pieces, now))
+	case *messenger.Frame_Later:
+		after := time.Duration(body.Later.GetAfterMilliseconds()) * time.Millisecond
+		c.Apply(c.distributor.OnLater(name, after, now))
 	case *messenger.Frame_TargetEnds:
 		c.onTargetEnds(body.TargetEnds, name)
 	}
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/asserter"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
@@ -24,6 +26,18 @@
 	// responseSmoothing is the weight of a response that came faster than the
 	// recent ones in their time.
 	responseSmoothing = 0.3
+	// largeFrame is the size in bytes from which frames are sent one after the other on a
+	// link whose rate is known. The first neighbour can pass its copy on while the
+	// second one receives it.
+	largeFrame = 4 << 10
+	// maxQueued bounds the large frames that wait. Further neighbours are told to ask
+	// later, and may ask another one meanwhile.
+	maxQueued = 1
+	// largeResponse is the size in bytes of a response for whose time on this process's
+	// link more is waited, maxTransferTime at most.
+	largeResponse   = maxRecentBytes
+	maxTransferTime = time.Second
+	bitsPerByte     = 8
 	// lentTime is how long a version is kept for a neighbour after its manifest was sent.
 	// The request for its pieces may take a response time that is still waited for.
 	lentTime = 2 * maxRequestTimeout
@@ -49,6 +63,9 @@
 	Sends []OutgoingFrame
 	// Stored reports whether the step stored a newer, complete version.
 	Stored bool
+	// TickAfter is the time after which Tick is to be called, earlier than it would be
+	// otherwise, or 0.
+	TickAfter time.Duration
 }
 
 // A Distributor holds the newest complete version and fetches newer ones. It is
@@ -81,10 +98,24 @@
 	// pendingPeer is the neighbour whose response is awaited, or "".
 	pendingPeer string
 	requestedAt time.Time
+	// linkRate is the rate of this process's link, in bits a second, or 0.
+	linkRate float64
+	// queue holds the large frames that wait until linkFreeAt.
+	queue      []queuedFrame
+	linkFreeAt time.Time
 	// effects collects the effects of the current step.
 	effects Effects
 }
 
+// queuedFrame is a large frame that waits for the link.
+type queuedFrame struct {
+	OutgoingFrame
+
+	size int
+	// version is the version that the frame leads to.
+	version uint64
+}
+
 // lentVersion is a version that is kept for neighbors that fetch it.
 type lentVersion struct {
 	manifest fireflymoor.Manifest
@@ -100,6 +131,8 @@
 	order int
 	// failures counts the requests to it in a row that failed.
 	failures int
+	// busyUntil is until when it has asked not to be asked.
+	busyUntil time.Time
 	// requestedAt is when the last request was sent to it that it has not responded
 	// to, or zero.
 	requestedAt time.Time
@@ -115,6 +148,21 @@
 	}
 }
 
+// SetLinkRate sets the rate of this process's link, in bits a second, or 0 if it is not
+// known.
+func (d *Distributor) SetLinkRate(rate float64) {
+	d.linkRate = rate
+}
+
+// transferTime returns how long bytes take on this process's link.
+func (d *Distributor) transferTime(bytes int) time.Duration {
+	if d.linkRate <= 0 {
+		return 0
+	}
+	seconds := float64(bytes*bitsPerByte) / d.linkRate
+	return time.Duration(min(seconds, maxTransferTime.Seconds()) * float64(time.Second))
+}
+
 // Manifest returns the manifest of the newest complete version.
 func (d *Distributor) Manifest() fireflymoor.Manifest {
 	return d.manifest
@@ -171,6 +219,7 @@
 // at this neighbour goes to another one.
 func (d *Distributor) OnPeerDown(peer string, now time.Time) Effects {
 	delete(d.peers, peer)
+	d.queue = slices.DeleteFunc(d.queue, func(q queuedFrame) bool { return q.Peer == peer })
 	if d.pendingPeer == peer {
 		d.pendingPeer = ""
 		d.requestNewest(now)
@@ -246,19 +295,41 @@
 // another neighbour if there is one.
 func (d *Distributor) Tick(now time.Time) Effects {
 	d.lent = slices.DeleteFunc(d.lent, func(l lentVersion) bool { return now.Sub(l.at) >= lentTime })
-	timeout := min(max(time.Duration(responseFactor*float64(d.responseTime)), requestTimeout), maxRequestTimeout)
+	d.sendQueued(now)
+	timeout := requestTimeout + d.transferTime(largeResponse)
+	timeout = min(max(time.Duration(responseFactor*float64(d.responseTime)), timeout), maxRequestTimeout)
 	if d.pendingPeer != "" && now.Sub(d.requestedAt) >= timeout {
 		d.recordFailure(d.pendingPeer)
 		d.pendingPeer = ""
+	}
+	if d.pendingPeer == "" {
 		d.requestNewest(now)
 	}
 	return d.takeEffects()
 }
 
+// OnLater handles the response of a neighbour whose link has no room for a large one.
+// Another neighbour is asked, or the same one later.
+func (d *Distributor) OnLater(peer string, after time.Duration, now time.Time) Effects {
+	p := d.peers[peer]
+	if peer != d.pendingPeer || p == nil {
+		return Effects{}
+	}
+	after = min(after, maxRequestTimeout)
+	p.busyUntil = now.Add(after)
+	p.requestedAt = time.Time{}
+	d.pendingPeer = ""
+	d.requestNewest(now)
+	if d.pendingPeer == "" {
+		d.effects.TickAfter = after
+	}
+	return d.takeEffects()
+}
+
 // requestNewest requests the missing updates from the neighbour with the newest
 // version.
 func (d *Distributor) requestNewest(now time.Time) {
-	if peer := d.newestPeer(); peer != "" {
+	if peer := d.newestPeer(now); peer != "" {
 		d.requestUpdates(peer, d.manifest.Number(), now)
 	}
 }
@@ -276,14 +347,14 @@
 }
 
 // newestPeer returns the neighbour to request a newer version from, or "" if no
-// neighbour has a newer version than the local one. It prefers the neighbours with
+// neighbour that may be asked has a newer version than the local one. It prefers the neighbours with
 // the fewest failures in a row, of these the ones with the newest version, and of
 // these the one that announced it first: it is likely to be near, and not all
 // members of a zone turn to the same one.
-func (d *Distributor) newestPeer() string {
+func (d *Distributor) newestPeer(now time.Time) string {
 	best := ""
 	for name, p := range d.peers {
-		if p.version <= d.manifest.Number() {
+		if p.version <= d.manifest.Number() || now.Before(p.busyUntil) {
 			continue
 		}
 		if best == "" || p.before(d.peers[best]) {
@@ -359,13 +430,13 @@
 // The pieces of that version are kept for a while, as the neighbour requests them next.
 func (d *Distributor) OnManifestRequest(peer string, held uint64, now time.Time) Effects {
 	if updates := d.updatesSince(held); len(updates) > 0 {
-		d.send(peer, &messenger.Frame{
+		d.respond(peer, &messenger.Frame{
 			Body: &messenger.Frame_Updates{
 				Updates: &messenger.Updates{
 					Updates: updates,
 				},
 			},
-		})
+		}, d.manifest.Number(), now)
 		return d.takeEffects()
 	}
 	d.send(peer, &messenger.Frame{
@@ -399,6 +470,56 @@
 	return d.manifest
 }
 
+// respond sends a response that leads to a version, or queues it if it is large and
+// another one is being sent.
+func (d *Distributor) respond(peer string, frame *messenger.Frame, version uint64, now time.Time) {
+	size := proto.Size(frame)
+	if d.linkRate <= 0 || size < largeFrame {
+		d.send(peer, frame)
+		return
+	}
+	if len(d.queue) >= maxQueued {
+		wait := d.linkFreeAt.Sub(now)
+		for i := range d.queue {
+			wait += d.transferTime(d.queue[i].size)
+		}
+		d.send(peer, &messenger.Frame{
+			Body: &messenger.Frame_Later{
+				Later: &messenger.Later{
+					AfterMilliseconds: uint32(max(wait.Milliseconds(), 1)),
+				},
+			},
+		})
+		return
+	}
+	d.queue = append(d.queue, queuedFrame{
+		OutgoingFrame: OutgoingFrame{
+			Peer:  peer,
+			Frame: frame,
+		},
+		size:    size,
+		version: version,
+	})
+	d.sendQueued(now)
+}
+
+// sendQueued sends the next large frame if the link is free, unless the neighbour has got
+// the version from another one meanwhile.
+func (d *Distributor) sendQueued(now time.Time) {
+	for len(d.queue) > 0 && !now.Before(d.linkFreeAt) {
+		next := d.queue[0]
+		d.queue = d.queue[1:]
+		if p := d.peers[next.Peer]; p != nil && p.version >= next.version {
+			continue
+		}
+		d.linkFreeAt = now.Add(d.transferTime(next.size))
+		d.send(next.Peer, next.Frame)
+	}
+	if len(d.queue) > 0 {
+		d.effects.TickAfter = max(d.linkFreeAt.Sub(now), time.Millisecond)
+	}
+}
+
 func (d *Distributor) send(peer string, frame *messenger.Frame) {
 	d.effects.Sends = append(d.effects.Sends, OutgoingFrame{
 		Peer:  peer,
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -119,7 +119,10 @@
 	case *messenger.Frame_Manifest:
 		n.enqueue(d.to, m.OnManifest(peer, body.Manifest, n.now))
 	case *messenger.Frame_Pull:
-		n.enqueue(d.to, m.OnPull(peer, body.Pull))
+		n.enqueue(d.to, m.OnPull(peer, body.Pull, n.now))
+	case *messenger.Frame_Later:
+		after := time.Duration(body.Later.GetAfterMilliseconds()) * time.Millisecond
+		n.enqueue(d.to, m.OnLater(peer, after, n.now))
 	case *messenger.Frame_Pieces:
 		n.enqueue(d.to, m.OnPieces(peer, body.Pieces, n.now))
 	}
--- a/internal/distributor/pull.go
+++ b/internal/distributor/pull.go
@@ -144,18 +144,18 @@
 }
 
 // OnPull responds with those of the requested pieces that are available.
-func (d *Distributor) OnPull(peer string, pull *messenger.Pull) Effects {
+func (d *Distributor) OnPull(peer string, pull *messenger.Pull, now time.Time) Effects {
 	response := &messenger.Pieces{}
 	for _, request := range pull.GetPieces() {
 		if p := d.pack(request); p != nil {
 			response.Pieces = append(response.Pieces, p)
 		}
 	}
-	d.send(peer, &messenger.Frame{
+	d.respond(peer, &messenger.Frame{
 		Body: &messenger.Frame_Pieces{
 			Pieces: response,
 		},
-	})
+	}, d.manifest.Number(), now)
 	return d.takeEffects()
 }
 
--- a/internal/distributor/rollout_test.go
+++ b/internal/distributor/rollout_test.go
@@ -45,7 +45,7 @@
 	effects := far.OnManifest("peer", messenger.FromManifest(from.Manifest()), now)
 	pull := effects.Sends[0].Frame.GetPull()
 	is.Equal(len(pull.GetPieces()), 3)
-	effects = from.OnPull("peer", pull)
+	effects = from.OnPull("peer", pull, now)
 	far.OnPieces("peer", effects.Sends[0].Frame.GetPieces(), now)
 	got, _ = far.Inputs("team")
 	is.Equal(got, inputs)
--- a/internal/distributor/update.go
+++ b/internal/distributor/update.go
@@ -119,7 +119,7 @@
 		}
 		return d.takeEffects()
 	}
-	if !late || d.newestPeer() == "" {
+	if !late || d.newestPeer(now) == "" {
 		d.pendingPeer = ""
 		d.requestNewest(now)
 	}
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -181,6 +181,7 @@
 		Log:       m.log,
 		Watcher:   watcher,
 
+		LinkRate:    m.settings.LinkRate,
 		Quarantiner: m.quarantine,
 	}, time.Now())
 }
