internal/caller: wait for news before a call whose target has ended is sent again

Cause: of two calls with the same request each ends two targets if the news of the first call's ends has not reached the second caller's node, 100 ms later on a busy machine. And a node whose own call had ended a second target did not know that it was a repeat before the news of the target's node came. Change: a call whose target has ended waits 100 ms before it is sent again; the node of the caller records a repeat by itself. The check and its bound are unchanged.

--- a/internal/caller/quarantine.go
+++ b/internal/caller/quarantine.go
@@ -20,8 +20,9 @@
 	IsActive() bool
 	// Admit decides about one try of a request.
 	Admit(f quarantiner.Fingerprint, description string, now time.Time) quarantiner.Admission
-	// Learn records ends of targets under a request.
-	Learn(f quarantiner.Fingerprint, ends []uint64, now time.Time)
+	// Learn records ends of targets under a request, and whether it was sent after
+	// another one was known.
+	Learn(f quarantiner.Fingerprint, ends []uint64, repeat bool, now time.Time)
 }
 
 // quarantinedError is the error of a call whose request is refused.
@@ -88,7 +89,8 @@
 		return
 	}
 	if f := c.fingerprint(); f != 0 {
-		h.options.Quarantine.Learn(f, []uint64{ended.End}, time.Now())
+		_, known := annotator.ReadSuspect(c.request.Header)
+		h.options.Quarantine.Learn(f, []uint64{ended.End}, len(known) > 0, time.Now())
 	}
 }
 
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -10,6 +10,7 @@
 
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/retrier"
+	"github.com/fireflymoor/fireflymoor/internal/waiter"
 )
 
 const (
@@ -23,6 +24,9 @@
 	// redirectWait is the wait for a slot above which a call is sent back while it can
 	// be tried at another target. A further try takes about as long.
 	redirectWait = 5 * time.Millisecond
+	// newsTime is the wait before a call is sent again whose target has ended. The same
+	// request may be ending other targets, and news of that is on its way.
+	newsTime = 100 * time.Millisecond
 	// minRedirectTime is the time that a call must have left to be sent back.
 	minRedirectTime = 100 * time.Millisecond
 	// maxRedirectBody bounds the body of a call that is sent back, in bytes. It crosses
@@ -62,6 +66,9 @@
 		h.options.Log.Info().Str("call", c.id).Str("service", c.service.Name).Err(errRetryBudgetSpent).Msg("caller: no retry")
 		return false
 	}
+	if errors.HasType(err, &fireflymoor.EndedError{}) {
+		waiter.Pause(ctx, newsTime)
+	}
 	// The last try's transport may have read on while this one waited.
 	return retrier.Wait(ctx, c.runs, outcome) == nil && c.body.rewind()
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -194,12 +194,23 @@
 func TestLearnedEndIsSpread(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
-	f.Learn(request, []uint64{1}, f.now)
+	f.Learn(request, []uint64{1}, false, f.now)
 	f.report(false, 1)
 	is.Equal(len(f.spread), 1)
 	is.Equal(f.spread[0].GetEnds()[0].GetRequests(), []uint64{uint64(request), 101})
 }
 
+// TestLearnedRepeat checks that a node whose call has ended a second target knows before the
+// next try that the request is refused, without the news of the target's node.
+func TestLearnedRepeat(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.Learn(request, []uint64{1}, false, f.now)
+	is.Equal(f.decision(), Free)
+	f.Learn(request, []uint64{2}, true, f.now)
+	is.Equal(f.decision(), Refused)
+}
+
 // TestStateForNewNeighbor checks that a process that starts learns which requests are
 // held back, and not how long they have been held back anew.
 func TestStateForNewNeighbor(t *testing.T) {
--- a/internal/quarantiner/spread.go
+++ b/internal/quarantiner/spread.go
@@ -33,14 +33,16 @@
 }
 
 // Learn records the ends of targets under one request that another process names with a
-// call. They are spread by the process that saw them.
-func (q *Quarantiner) Learn(f Fingerprint, ids []uint64, now time.Time) {
+// call. They are spread by the process that saw them. Repeat is set if the request was sent
+// after another end under it was known.
+func (q *Quarantiner) Learn(f Fingerprint, ids []uint64, repeat bool, now time.Time) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	for _, id := range ids {
 		q.add(f, end{
-			id: id,
-			at: now,
+			id:     id,
+			at:     now,
+			repeat: repeat,
 		})
 	}
 }
--- a/internal/target/quarantine.go
+++ b/internal/target/quarantine.go
@@ -73,7 +73,7 @@
 		v.fingerprint = quarantiner.Of(in, in.Header.Get(annotator.Tenant), nil)
 		v.known = s.quarantine.Knows(v.fingerprint)
 	}
-	s.quarantine.Learn(v.fingerprint, ends, now)
+	s.quarantine.Learn(v.fingerprint, ends, false, now)
 	if v.fingerprint != 0 {
 		release, ok := s.quarantine.Begin(v.fingerprint, now)
 		if !ok {
