--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -20,20 +20,20 @@
 )
 
 const (
-	// trialEnds is the number of ends from which a request is sent to one target only
-	// and one at a time, and maxEnds that from which it is refused for long.
+	// trialEnds is the number of ends from which a request is refused for a short time,
+	// and then sent to one target only and one at a time, and maxEnds that from which it is
+	// refused for long.
 	trialEnds = 2
 	maxEnds   = 3
 	// suspicionTime is how long ends that do not suffice for a refusal count. Targets
 	// that end for other reasons rarely do so under the same request twice.
 	suspicionTime = 2 * time.Minute
-	// pauseTime is how long a request is refused if it was sent again after an end and a
-	// target ended again, or if maxEnds targets were serving it at the same time, as they
-	// may be for a popular request if many targets end at once. It gives targets the
-	// time to come back before the trial may end one more.
+	// pauseTime is how long a request with trialEnds is refused. It gives targets the time
+	// to come back before the trial may end one more.
 	pauseTime = 10 * time.Second
 	// holdTime is how long a request with maxEnds is refused that was sent again after
-	// one of them.
+	// one of them. Without that, its targets may all have ended at once for another
+	// reason, as they may for a popular request.
 	holdTime = 10 * time.Minute
 	// forgetTime is how long a refused request is remembered after its last end. Until
 	// then it gets one trial at a time.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -67,17 +67,23 @@
 	is.True(!f.IsActive())
 }
 
-// TestPauseAfterRepeat checks that a request under which a second target ended after the
-// first end was known is refused until targets are back, and is then tried.
-func TestPauseAfterRepeat(t *testing.T) {
-	is := is.New(t)
-	f := newFixture()
-	f.report(true, 1, 2)
-	is.Equal(f.decision(), Refused)
-	f.now = f.now.Add(pauseTime)
-	is.Equal(f.decision(), Trial)
-	f.report(true, 3)
-	is.Equal(f.decision(), Refused)
+// TestPause checks that a request under which two targets ended, one after the other or at
+// the same time, is refused until targets are back, and is then tried.
+func TestPause(t *testing.T) {
+	for name, repeat := range map[string]bool{"repeated": true, "simultaneous": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.report(repeat, 1, 2)
+			is.Equal(f.decision(), Refused)
+			f.now = f.now.Add(pauseTime)
+			is.Equal(f.decision(), Trial)
+			f.report(true, 2, 3)
+			is.Equal(f.decision(), Refused)
+			f.now = f.now.Add(pauseTime)
+			is.Equal(f.decision(), Refused) // for long
+		})
+	}
 }
 
 // TestSimultaneousEnds checks that a popular request that many targets were serving when
@@ -97,6 +103,7 @@
 	is := is.New(t)
 	f := newFixture()
 	f.report(false, 1, 2)
+	f.now = f.now.Add(pauseTime)
 	release, ok := f.Begin(request, f.now)
 	is.True(ok)
 	_, ok = f.Begin(request, f.now)
--- a/internal/quarantiner/record.go
+++ b/internal/quarantiner/record.go
@@ -49,7 +49,7 @@
 	switch {
 	case len(r.ends) >= maxEnds && repeated:
 		return r.last().Add(holdTime)
-	case len(r.ends) >= maxEnds, len(r.ends) >= trialEnds && repeated:
+	case len(r.ends) >= trialEnds:
 		return r.last().Add(pauseTime)
 	}
 	return time.Time{}
