--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -207,8 +207,9 @@
 	is.Equal(f.spread[0].GetEnds()[0].GetRequests(), []uint64{uint64(request), 101})
 }
 
-// TestLearnedRepeat checks that a node whose call has ended a second target knows before the
-// next try that the request is refused, without the news of the target's node.
+// TestLearnedRepeat checks that a node whose call has ended a second target knows that it was
+// a repeat without the news of the target's node, and refuses the request for long after a
+// third end. Without the repeat it would be on trial by then.
 func TestLearnedRepeat(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
@@ -216,6 +217,9 @@
 	is.Equal(f.decision(), Free)
 	f.Learn(request, []uint64{2}, true, f.now)
 	is.Equal(f.decision(), Refused)
+	f.Learn(request, []uint64{3}, false, f.now)
+	f.now = f.now.Add(pauseTime)
+	is.Equal(f.decision(), Refused)
 }
 
 // TestStateForNewNeighbor checks that a process that starts learns which requests are
