internal/sender: take a reset that a write has reported for the end of no response

Callers got a part of a response as a complete one: status 200 without a length, a part of the body, then a reset of the connection while the upload was still being written.

Cause: the kernel reports a reset once, to the read or write that comes first. The upload is written in its own goroutine. If its write gets the error, the reads find the part and then the end of the stream, which is the end of a body without a length. The connection was aborted after the failed write, but only once the writer had got that far.

Evidence: TestBrokenAnswer sends such answers over one node and two.

Change: the writes of a connection keep their first error. At the end of the stream, a body that ends with its connection is complete if the peer has closed its side and the connection is intact (Linux tells so by its state), if no write has failed, or if the first one failed with EPIPE: a reset after the end of the peer's stream is reported so, one before as ECONNRESET. The write in progress is awaited, as it may have had the error already; on a connection that was reset, it returns at once. Any other error, such as a timeout, makes the response one that broke off, which may have run. An error of a body is returned by all further reads too.

Why it works: without a failed write nobody else can have had the error, so that a read gets it; with one, its kind says what came first. All reads of responses on both hops and of queries go through this place.

--- /dev/null
+++ b/internal/runner/broken_answer_test.go
@@ -0,0 +1,229 @@
+package runner
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// brokenUploadBytes is the length of an upload that its target does not read.
+	brokenUploadBytes = 4 << 20
+	// brokenCallTimeout bounds one call whose response breaks off.
+	brokenCallTimeout = 5 * time.Second
+)
+
+// rawAnswer is what a target sends in response to a request whose body it does not read.
+type rawAnswer struct {
+	content string
+	// delay is the time between the content and the reset of the connection.
+	delay time.Duration
+}
+
+// rawTarget is a target that sends answers without regard to HTTP.
+type rawTarget struct {
+	listener net.Listener
+	answer   atomic.Pointer[rawAnswer]
+}
+
+// newRawTarget starts a target.
+func newRawTarget(t testing.TB) *rawTarget {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	target := &rawTarget{
+		listener: listener,
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go target.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return target
+}
+
+func (r *rawTarget) address() string {
+	return r.listener.Addr().String()
+}
+
+func (r *rawTarget) serve(conn *net.TCPConn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	if _, err := http.ReadRequest(reader); err != nil {
+		return
+	}
+	answer := r.answer.Load()
+	_, _ = io.WriteString(conn, answer.content)
+	time.Sleep(answer.delay)
+	_ = conn.SetLinger(0)
+}
+
+// rawCall is a call over a raw connection.
+type rawCall struct {
+	// protocol is the minor version of HTTP/1.
+	protocol int
+	// upload is set if the call has a body of brokenUploadBytes, which is written while
+	// the response is read, and chunked if the body is sent in chunks.
+	upload, chunked bool
+}
+
+// result is what a caller knows of its call.
+type result struct {
+	status int
+	body   string
+	// err is the error that the caller has seen, or nil if the response looks complete.
+	err error
+}
+
+// do makes the call.
+func (c rawCall) do(t testing.TB, host string) result {
+	t.Helper()
+	conn, err := net.Dial("tcp", host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(brokenCallTimeout))
+	head := fmt.Sprintf("POST /x HTTP/1.%d\r\nHost: a\r\n", c.protocol)
+	switch {
+	case c.chunked:
+		head += "Transfer-Encoding: chunked\r\n"
+	case c.upload:
+		head += fmt.Sprintf("Content-Length: %d\r\n", brokenUploadBytes)
+	}
+	if _, err := io.WriteString(conn, head+"\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		if c.upload {
+			c.writeBody(conn)
+		}
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return result{
+			err: err,
+		}
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = conn.Close()
+	<-written
+	return result{
+		status: response.StatusCode,
+		body:   string(body),
+		err:    err,
+	}
+}
+
+// writeBody writes as much of the body as it can.
+func (c rawCall) writeBody(to io.Writer) {
+	piece := strings.Repeat("u", 32<<10)
+	for range brokenUploadBytes / len(piece) {
+		data := piece
+		if c.chunked {
+			data = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+		}
+		if _, err := io.WriteString(to, data); err != nil {
+			return
+		}
+	}
+	if c.chunked {
+		_, _ = io.WriteString(to, "0\r\n\r\n")
+	}
+}
+
+// name describes the call.
+func (c rawCall) name() string {
+	framing := "none"
+	switch {
+	case c.chunked:
+		framing = "chunks"
+	case c.upload:
+		framing = "length"
+	}
+	return fmt.Sprintf("1.%d/upload-%s", c.protocol, framing)
+}
+
+// chunk returns data as a chunk.
+func chunk(data string) string {
+	if data == "" {
+		return ""
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(data), data)
+}
+
+// brokenFramings are heads of responses whose bodies break off, by how the end of the body
+// is known.
+var brokenFramings = map[string]string{
+	"end":       "HTTP/1.1 %s\r\n\r\n",
+	"end-close": "HTTP/1.1 %s\r\nConnection: close\r\n\r\n",
+	"end-1.0":   "HTTP/1.0 %s\r\n\r\n",
+	"chunks":    "HTTP/1.1 %s\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"length":    "HTTP/1.1 %s\r\nContent-Length: 100000\r\n\r\n",
+}
+
+// brokenAnswers returns answers that break off after parts of several sizes.
+func brokenAnswers(framing string) []rawAnswer {
+	answers := []rawAnswer{}
+	add := func(status string, size int, delay time.Duration) {
+		part := strings.Repeat("x", size)
+		if framing == "chunks" {
+			part = chunk(part)
+		}
+		answers = append(answers, rawAnswer{
+			content: fmt.Sprintf(brokenFramings[framing], status) + part,
+			delay:   delay,
+		})
+	}
+	for _, size := range []int{0, 19, 30_704} {
+		for _, delay := range []time.Duration{0, 5 * time.Millisecond, 60 * time.Millisecond} {
+			add("200 OK", size, delay)
+		}
+		add("201 Created", size, 0)
+		add("500 Internal Server Error", size, 0)
+	}
+	return answers
+}
+
+// TestBrokenAnswer guards against answers that broke off and look complete to the caller.
+func TestBrokenAnswer(t *testing.T) {
+	for _, call := range []rawCall{
+		{protocol: 1},
+		{protocol: 1, upload: true},
+		{protocol: 1, upload: true, chunked: true},
+	} {
+		target := newRawTarget(t)
+		path := newCallPathTo(t, target.address())
+		for nodes, host := range path.hosts(t) {
+			for framing := range brokenFramings {
+				t.Run(fmt.Sprintf("%s/%s/%s", nodes, call.name(), framing), func(t *testing.T) {
+					is := is.New(t)
+					complete := 0
+					for _, answer := range brokenAnswers(framing) {
+						target.answer.Store(&answer)
+						if r := call.do(t, host); r.err == nil && r.status != http.StatusBadGateway {
+							complete++
+						}
+					}
+					is.Equal(complete, 0) // broken answers that look complete
+				})
+			}
+		}
+	}
+}
--- a/internal/runner/call_test.go
+++ b/internal/runner/call_test.go
@@ -56,17 +56,25 @@
 
 // newCallPath returns the paths to targets that serve calls with the given functions.
 func newCallPath(b testing.TB, serve ...http.HandlerFunc) callPath {
+	addresses := make([]string, len(serve))
+	for i := range serve {
+		server := httptest.NewServer(serve[i])
+		b.Cleanup(server.Close)
+		addresses[i] = server.Listener.Addr().String()
+	}
+	return newCallPathTo(b, addresses...)
+}
+
+// newCallPathTo returns the paths to targets that listen at the given addresses.
+func newCallPathTo(b testing.TB, targets ...string) callPath {
 	log := zerolog.New(diode.NewWriter(io.Discard, maxQueuedLogLines, 0, func(int) {}))
 	dial := dialer.New("127.0.0.1:0", counter.New(prometheus.NewRegistry()))
 	registry := target.NewRegistry("far", time.Hour, log, func([]*messenger.Target, []*messenger.Departure) {}, func(context.Context) error { return nil })
-	var targetServer *httptest.Server
-	for i := range serve {
-		targetServer = httptest.NewServer(serve[i])
-		b.Cleanup(targetServer.Close)
+	for i := range targets {
 		registry.Announce(target.Announcement{
 			ID:      "target" + strconv.Itoa(i),
 			Service: "service",
-			Address: targetServer.Listener.Addr().String(),
+			Address: targets[i],
 			Slots:   1000,
 		}, time.Now())
 	}
@@ -82,7 +90,7 @@
 			Node:    node,
 			Dialect: annotator.NewDialect(),
 			Viewer: &fixedViewer{
-				view: newTargetView(address, len(serve)),
+				view: newTargetView(address, len(targets)),
 			},
 			Balancer:    balancer.NewTwoChoices(),
 			Forwarder:   forwarder.New(node, local, forwarder.NewRemote(dial, nodePacker)),
@@ -97,7 +105,7 @@
 		})
 	}
 	return callPath{
-		direct:   targetServer.URL + "/x",
+		direct:   "http://" + targets[len(targets)-1] + "/x",
 		oneNode:  "http://" + serveHandler(b, handler("far", farAddress)) + "/x",
 		twoNodes: "http://" + serveHandler(b, handler("near", farAddress)) + "/x",
 		refused:  "http://" + serveHandler(b, handler("near", fullAddress)) + "/x",
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -40,6 +40,7 @@
 	raw     net.Conn
 	source  *headLimiter
 	reader  *bufio.Reader
+	output  *output
 	writer  *bufio.Writer
 	expires time.Time
 	// written is the result of writing the request, or nil while it is being
@@ -70,11 +71,15 @@
 		// With the port, so that targets on one machine do not share a part.
 		source.charge = budget.NewResponseCharge(raw.RemoteAddr().String())
 	}
+	output := &output{
+		conn: raw,
+	}
 	return &conn{
 		raw:    raw,
 		source: source,
 		reader: bufio.NewReader(source),
-		writer: bufio.NewWriter(raw),
+		output: output,
+		writer: bufio.NewWriter(output),
 	}
 }
 
@@ -258,7 +263,7 @@
 // discard reads and discards the body of a response. It returns an error if the
 // body ends only with the connection, or is too long to discard.
 func discard(response *http.Response) error {
-	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if response.Close || endsWithConn(response) {
 		return errors.New("sender: it ends with its connection")
 	}
 	_, err := io.CopyN(io.Discard, response.Body, maxDiscard)
@@ -268,26 +273,46 @@
 	return errors.CombineErrors(err, errors.New("sender: it is too long to read past"))
 }
 
+// endsWithConn reports whether the end of the connection is the end of the body of a
+// response.
+func endsWithConn(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // body is the body of a response. Its first Close calls onEnd with whether the
 // body was read completely.
 type body struct {
 	io.ReadCloser
 	// remaining is the number of unread bytes, or -1 if the length is unknown.
 	remaining int64
-	onEnd     func(complete bool)
-	ended     bool
-	complete  bool
+	// checkEnd returns an error if the end that a read has found is not that of the
+	// body. It may be nil.
+	checkEnd func() error
+	onEnd    func(complete bool)
+	// err is the result of the last read. The kernel reports a reset only once.
+	err      error
+	ended    bool
+	complete bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
 	n, err := b.ReadCloser.Read(p)
 	if b.remaining >= 0 {
 		b.remaining -= int64(n)
 	}
+	if errors.Is(err, io.EOF) && b.checkEnd != nil {
+		if endErr := b.checkEnd(); endErr != nil {
+			err = endErr
+		}
+	}
 	if errors.Is(err, io.EOF) || b.remaining == 0 {
 		b.complete = true
 	}
+	b.err = err
 	return n, err
 }
 
--- a/internal/sender/transport.go
+++ b/internal/sender/transport.go
@@ -130,9 +130,14 @@
 		response.Request = request.WithContext(context.WithValue(ctx, sendingKey{}, c.sending))
 	}
 	early := IsSending(response)
+	var checkEnd func() error
+	if endsWithConn(response) {
+		checkEnd = c.checkEnd
+	}
 	response.Body = &body{
 		ReadCloser: response.Body,
 		remaining:  response.ContentLength,
+		checkEnd:   checkEnd,
 		onEnd: func(complete bool) {
 			c.source.release()
 			if stop() && complete && !response.Close && c.isIdle() {
