internal/resetter, caller, receiver: end a broken response visibly for HTTP/1.0

HTTP/1.0 callers got a part of a response as a complete one, with and without an upload: whenever a response without a length, or one in chunks, broke off on the way.

Cause: the server ends a broken response by closing the connection to the caller (http.ErrAbortHandler). For HTTP/1.0 the end of the connection is the end of the body. A server that is closed at the end of the shutdown timeout, and a process that is killed, end a response in the same way.

Change: a response without a length to an HTTP/1.0 caller is held back up to 64 KiB. If it ends before, it gets a length; if it breaks off, the call has got no response: it is sent to another target where the route allows that, or gets status 502. A longer response is written while SO_LINGER with a time of 0 is set on the caller's connection, so that any close of it is a reset, until the whole of it has been handed to the kernel.

The caller may lose bytes of the broken response that it has not read, and gets the first byte of a short response after the last one of the target.

Whole responses of 0 to 200,000 bytes arrive whole, by GET, POST and HEAD, over one node and two.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -322,6 +322,9 @@
 	h.setTryHeaders(c, pick.Target, now)
 	observation := h.observe(c, pick.Target)
 	response, outcome, err := h.options.Forwarder.Forward(ctx, pick.Target, c.request)
+	if err == nil {
+		outcome, err = c.hold(response)
+	}
 	if !c.mayRedirect || !isSaturated(outcome, err) {
 		h.options.RefusalRate.Record(c.service.Name, isSaturated(outcome, err))
 	}
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -98,7 +98,7 @@
 	if !sender.IsSending(response) {
 		c.abandonRequest(w)
 	}
-	receiver.Copy(w, response)
+	receiver.Copy(w, c.request, response)
 }
 
 // abandonRequest makes the server respond without the rest of a long request, if it
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -25,15 +25,15 @@
 		if inner != nil {
 			ctx = inner(ctx, conn)
 		}
-		if socket := socketOf(conn); socket != nil {
+		if socket := SocketOf(conn); socket != nil {
 			ctx = context.WithValue(ctx, connKey{}, socket)
 		}
 		return ctx
 	}
 }
 
-// socketOf returns the socket that a connection wraps, or nil.
-func socketOf(conn net.Conn) syscall.RawConn {
+// SocketOf returns the socket that a connection wraps, or nil.
+func SocketOf(conn net.Conn) syscall.RawConn {
 	for {
 		switch c := conn.(type) {
 		case interface{ NetConn() net.Conn }:
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -69,5 +69,5 @@
 	is.True(!HasLeft(t.Context()))
 	client, server := net.Pipe()
 	defer func() { _ = client.Close() }()
-	is.Equal(socketOf(server), nil)
+	is.Equal(SocketOf(server), nil)
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -216,7 +216,7 @@
 	}
 	response.Header.Set(annotator.CallID, id)
 	response.Header.Set(annotator.Outcome, fireflymoor.Answered.String())
-	Copy(w, response)
+	Copy(w, request, response)
 }
 
 // setRefusalHeaders sets the headers that tell the caller's node whether the
--- a/internal/receiver/response.go
+++ b/internal/receiver/response.go
@@ -8,6 +8,7 @@
 
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
+	"github.com/fireflymoor/fireflymoor/internal/resetter"
 	"github.com/fireflymoor/fireflymoor/internal/sender"
 )
 
@@ -68,13 +69,14 @@
 	}
 }
 
-// Copy writes a target's response to w. If the body cannot be copied in full,
-// it panics with http.ErrAbortHandler, so that the connection is aborted and
-// the client does not take the truncated response for complete.
+// Copy writes a target's response to a request to w. If the body cannot be copied in
+// full, it panics with http.ErrAbortHandler, so that the connection is aborted and
+// the client does not take the truncated response for complete. A client whose response
+// ends with its connection sees that the connection is reset.
 //
 // If the target responded before it had the whole request, Copy sends it the rest
 // before it returns, as the server discards the rest afterwards.
-func Copy(w http.ResponseWriter, response *http.Response) {
+func Copy(w http.ResponseWriter, request *http.Request, response *http.Response) {
 	controller := http.NewResponseController(w)
 	early := sender.IsSending(response)
 	if early {
@@ -89,13 +91,22 @@
 	if _, ok := response.Header["Content-Type"]; !ok {
 		w.Header()["Content-Type"] = nil // the server would guess one
 	}
-	if response.ContentLength >= 0 {
+	end := func() {}
+	switch {
+	case response.ContentLength >= 0:
 		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	case !request.ProtoAtLeast(1, 1): // the end of the connection is that of the body
+		disarm := resetter.Arm(request.Context())
+		end = func() {
+			_ = controller.Flush()
+			disarm()
+		}
 	}
 	w.WriteHeader(response.StatusCode)
 	if err := copyBody(w, response); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	end()
 	if early {
 		_ = controller.Flush()
 		sender.AwaitSent(response)
--- a/internal/runner/broken_answer_test.go
+++ b/internal/runner/broken_answer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -201,12 +202,114 @@
 	return answers
 }
 
+// longPart is the size of a part that is too long to be held back until its end is known.
+const longPart = 200_000
+
+// TestBrokenLongAnswer guards against an answer to an HTTP/1.0 caller that broke off after
+// its head had been sent, and looks complete.
+func TestBrokenLongAnswer(t *testing.T) {
+	target := newRawTarget(t)
+	path := newCallPathTo(t, target.address())
+	for nodes, host := range path.hosts(t) {
+		for framing, head := range brokenFramings {
+			if framing == "length" {
+				continue
+			}
+			t.Run(nodes+"/"+framing, func(t *testing.T) {
+				is := is.New(t)
+				part := strings.Repeat("x", longPart)
+				if framing == "chunks" {
+					part = chunk(part)
+				}
+				for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+					target.answer.Store(&rawAnswer{
+						content: fmt.Sprintf(head, "200 OK") + part,
+						delay:   delay,
+					})
+					is.True(rawCall{}.do(t, host).err != nil) // a broken answer looks complete
+				}
+			})
+		}
+	}
+}
+
+// TestWholeAnswerToOldCaller checks that an HTTP/1.0 caller gets answers of all lengths
+// whole, and those that are held back with their length.
+func TestWholeAnswerToOldCaller(t *testing.T) {
+	const held = 64 << 10
+	path := newCallPath(t, func(w http.ResponseWriter, request *http.Request) {
+		length, _ := strconv.Atoi(request.URL.Query().Get("length"))
+		_ = http.NewResponseController(w).Flush() // the response has no length
+		_, _ = io.WriteString(w, strings.Repeat("x", length))
+	})
+	for nodes, host := range path.hosts(t) {
+		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodHead} {
+			for _, length := range []int{0, 19, held, held + 1, longPart} {
+				t.Run(fmt.Sprintf("%s/%s/%d", nodes, method, length), func(t *testing.T) {
+					is := is.New(t)
+					conn, err := net.Dial("tcp", host)
+					is.NoErr(err)
+					defer func() { _ = conn.Close() }()
+					is.NoErr(conn.SetDeadline(time.Now().Add(brokenCallTimeout)))
+					_, err = fmt.Fprintf(conn, "%s /x?length=%d HTTP/1.0\r\n\r\n", method, length)
+					is.NoErr(err)
+					response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+					is.NoErr(err)
+					is.Equal(response.StatusCode, http.StatusOK)
+					body, err := io.ReadAll(response.Body)
+					is.NoErr(err)
+					if method == http.MethodHead {
+						is.Equal(response.Header.Get("Content-Length"), "")
+						return
+					}
+					is.Equal(len(body), length)
+					is.Equal(response.ContentLength == int64(length), length <= held)
+				})
+			}
+		}
+	}
+}
+
+// TestBrokenAnswerIsTriedAgain checks that a call of an HTTP/1.0 caller whose answer broke
+// off is sent to another target if it may repeat, and only then.
+func TestBrokenAnswerIsTriedAgain(t *testing.T) {
+	for method, expected := range map[string]int{http.MethodGet: http.StatusOK, http.MethodPost: http.StatusBadGateway} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			var tries atomic.Int64
+			serve := func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "part")
+				_ = http.NewResponseController(w).Flush()
+				if tries.Add(1) == 1 {
+					panic(http.ErrAbortHandler)
+				}
+			}
+			path := newCallPath(t, serve, serve)
+			for _, host := range path.hosts(t) {
+				tries.Store(0)
+				conn, err := net.Dial("tcp", host)
+				is.NoErr(err)
+				defer func() { _ = conn.Close() }()
+				is.NoErr(conn.SetDeadline(time.Now().Add(brokenCallTimeout)))
+				_, err = fmt.Fprintf(conn, "%s /x HTTP/1.0\r\n\r\n", method)
+				is.NoErr(err)
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				is.NoErr(err)
+				is.Equal(response.StatusCode, expected)
+				is.Equal(tries.Load() > 1, method == http.MethodGet)
+			}
+		})
+	}
+}
+
 // TestBrokenAnswer guards against answers that broke off and look complete to the caller.
 func TestBrokenAnswer(t *testing.T) {
 	for _, call := range []rawCall{
 		{protocol: 1},
 		{protocol: 1, upload: true},
 		{protocol: 1, upload: true, chunked: true},
+		{protocol: 0},
+		{protocol: 0, upload: true},
 	} {
 		target := newRawTarget(t)
 		path := newCallPathTo(t, target.address())
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -27,6 +27,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
 	"github.com/fireflymoor/fireflymoor/internal/quarantiner"
+	"github.com/fireflymoor/fireflymoor/internal/resetter"
 	"github.com/fireflymoor/fireflymoor/internal/sequencer"
 	"github.com/fireflymoor/fireflymoor/internal/waiter"
 )
@@ -205,6 +206,7 @@
 		ErrorLog:          nil,
 	}
 	detector.Attach(server)
+	resetter.Attach(server)
 	return server
 }
 
