internal/runner: test that an answer with an invalid status reaches no caller

Other systems passed on an answer whose status was 000. Here such answers have been refused since (sender.TestInvalidStatus), and nothing else is changed.

The test has a target send nine statuses that are not those of a final response, over one node and two, to HTTP/1.1 and 1.0 callers and beside an upload, and close its connection or keep it open. The callers get status 502 with the outcome unknown at once, or a connection that ends.

--- a/internal/runner/broken_answer_test.go
+++ b/internal/runner/broken_answer_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/fireflymoor/fireflymoor/internal/annotator"
 )
 
 const (
@@ -27,6 +29,8 @@
 	content string
 	// delay is the time between the content and the reset of the connection.
 	delay time.Duration
+	// open is set if the target keeps the connection open until its peer closes it.
+	open bool
 }
 
 // rawTarget is a target that sends answers without regard to HTTP.
@@ -69,6 +73,10 @@
 	}
 	answer := r.answer.Load()
 	_, _ = io.WriteString(conn, answer.content)
+	if answer.open {
+		_, _ = io.Copy(io.Discard, reader)
+		return
+	}
 	time.Sleep(answer.delay)
 	_ = conn.SetLinger(0)
 }
@@ -85,7 +93,9 @@
 // result is what a caller knows of its call.
 type result struct {
 	status int
-	body   string
+	// outcome is what the node says of the call.
+	outcome string
+	body    string
 	// err is the error that the caller has seen, or nil if the response looks complete.
 	err error
 }
@@ -126,9 +136,10 @@
 	_ = conn.Close()
 	<-written
 	return result{
-		status: response.StatusCode,
-		body:   string(body),
-		err:    err,
+		status:  response.StatusCode,
+		outcome: response.Header.Get(annotator.Outcome),
+		body:    string(body),
+		err:     err,
 	}
 }
 
