internal/sender: refuse a response with an invalid field name

Callers got an answer in whose head the name of a field held a blank: without that line, or with a body that was not the target's. Lines with a blank in the name were dropped from trailers too.

Cause: http.ReadResponse keeps a name with a blank by design, as a field that nobody knows. The server of net/http does not write such a field.

Change: the names in every head, of informational responses too, and those of trailers must be tokens. A response with another one is refused like one with an invalid status: its connection is closed, and its call may have run. One whose trailers are not valid breaks off.

Why it works: both hops and the queries read responses in this one place, and the library hands on the names as they came.

--- a/internal/runner/malformed_answer_test.go
+++ b/internal/runner/malformed_answer_test.go
@@ -49,3 +49,45 @@
 		})
 	}
 }
+
+// malformedNames are lines of a head with field names that are not valid. The names of the
+// last three are those of fields that determine the length of the body.
+var malformedNames = []string{
+	"Re port: a",
+	"Report : a",
+	"Report\t: a",
+	"Re\x00port: a",
+	"Re\x0bport: a",
+	"\x7fReport: a",
+	"Report\x1f: a",
+	"Content-Length : 3",
+	"Transfer-Encoding : chunked",
+	"Transfer-Encoding: chunked\r\nTrailer : Sum",
+}
+
+// TestMalformedNameIsNotPassedOn guards against an answer in whose head, or in whose
+// informational responses, a field has an invalid name.
+func TestMalformedNameIsNotPassedOn(t *testing.T) {
+	const body = "2\r\nok\r\n0\r\n\r\n"
+	for _, line := range malformedNames {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			checkMalformed(t, "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n"+line+"\r\n\r\n"+body)
+		})
+		t.Run(fmt.Sprintf("%q/no length", line), func(t *testing.T) {
+			checkMalformed(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n"+body)
+		})
+		t.Run(fmt.Sprintf("%q/informational", line), func(t *testing.T) {
+			checkMalformed(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		})
+	}
+}
+
+// TestMalformedTrailerIsNotPassedOn guards against an answer in whose trailers a field has
+// an invalid name.
+func TestMalformedTrailerIsNotPassedOn(t *testing.T) {
+	for _, line := range malformedNames[:7] {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			checkMalformed(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+line+"\r\n\r\n")
+		})
+	}
+}
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -230,6 +230,9 @@
 		if err := checkStatus(response); err != nil {
 			return nil, err
 		}
+		if err := checkNames(response.Header); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -286,7 +289,7 @@
 	// remaining is the number of unread bytes, or -1 if the length is unknown.
 	remaining int64
 	// checkEnd returns an error if the end that a read has found is not that of the
-	// body. It may be nil.
+	// body, or if the trailers are not valid.
 	checkEnd func() error
 	onEnd    func(complete bool)
 	// err is the result of the last read. The kernel reports a reset only once.
@@ -304,7 +307,7 @@
 	if b.remaining >= 0 {
 		b.remaining -= int64(n)
 	}
-	if errors.Is(err, io.EOF) && b.checkEnd != nil {
+	if errors.Is(err, io.EOF) {
 		if endErr := b.checkEnd(); endErr != nil {
 			err = endErr
 		}
--- a/internal/sender/transport.go
+++ b/internal/sender/transport.go
@@ -130,7 +130,7 @@
 		response.Request = request.WithContext(context.WithValue(ctx, sendingKey{}, c.sending))
 	}
 	early := IsSending(response)
-	var checkEnd func() error
+	checkEnd := func() error { return checkNames(response.Trailer) }
 	if endsWithConn(response) {
 		checkEnd = c.checkEnd
 	}
