internal/sender: refuse a response of HTTP/1.0 with a transfer encoding

Callers got a body that was not the target's: the chunks as they stand on the wire.

Cause: RFC 9112, section 6.1, says that the framing of such a message is faulty. http.ReadResponse drops the field from a response of HTTP/1.0 and takes what follows the head for the body, up to the end of the connection or as long as Content-Length says.

TestEncodedOldResponse fails without the check in this package.

Change: the scanner that finds the end of a head notes a line of this field, as the library does not hand it on. A response before HTTP/1.1 with such a line is refused like one with an invalid status. Heads are scanned without a budget too.

Why it works: the scanner sees each byte of a head once, in whatever parts it arrives; names that only begin alike, folded lines and HTTP/1.1 are unaffected (same test).

--- a/internal/runner/malformed_answer_test.go
+++ b/internal/runner/malformed_answer_test.go
@@ -91,3 +91,20 @@
 		})
 	}
 }
+
+// TestEncodedOldAnswerIsNotPassedOn guards against an answer of HTTP/1.0 in chunks, which
+// reached its caller as they stand on the wire (RFC 9112, section 6.1).
+func TestEncodedOldAnswerIsNotPassedOn(t *testing.T) {
+	const body = "2\r\nok\r\n0\r\n\r\n"
+	for _, line := range []string{
+		"Transfer-Encoding: chunked",
+		"transfer-encoding:chunked",
+		"Transfer-Encoding: chunked\r\nContent-Length: 12",
+		"Content-Length: 12\r\nTransfer-Encoding: chunked",
+		"Transfer-Encoding: gzip",
+	} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			checkMalformed(t, "HTTP/1.0 200 OK\r\n"+line+"\r\n\r\n"+body)
+		})
+	}
+}
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -101,18 +101,16 @@
 	l.release()
 }
 
-// next charges the next response, of which some bytes may have been read before.
+// next scans and charges the next response, of which some bytes may have been read before.
 func (l *headLimiter) next(buffered []byte) error {
 	l.scanner = headScanner{}
 	return l.observe(buffered)
 }
 
-// observe charges the bytes that belong to the head.
+// observe scans and charges the bytes that belong to the head.
 func (l *headLimiter) observe(p []byte) error {
-	if l.charge == nil {
-		return nil
-	}
-	if !l.charge.AddHead(l.scanner.scan(p)) {
+	n, lines := l.scanner.scan(p)
+	if l.charge != nil && !l.charge.AddHead(n, lines) {
 		return errNoHeadMemory
 	}
 	return nil
@@ -233,6 +231,9 @@
 		if err := checkNames(response.Header); err != nil {
 			return nil, err
 		}
+		if err := c.source.scanner.checkEncoding(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/internal/sender/head.go
+++ b/internal/sender/head.go
@@ -7,10 +7,18 @@
 	"github.com/cockroachdb/errors"
 )
 
+// transferEncoding begins the line of the field Transfer-Encoding, in lower case.
+const transferEncoding = "transfer-encoding:"
+
 // headScanner finds the end of the head of a response.
 type headScanner struct {
 	lineBytes int
 	ended     bool
+	// begin holds the first bytes of the current line.
+	begin [len(transferEncoding)]byte
+	// encoded is set once a line begins with transferEncoding. http.ReadResponse drops that
+	// field from a response of HTTP/1.0.
+	encoded bool
 }
 
 // scan reads the next bytes and returns how many of them belong to the head, and how
@@ -27,12 +35,27 @@
 			s.lineBytes = 0
 		case '\r':
 		default:
+			if s.lineBytes < len(s.begin) {
+				s.begin[s.lineBytes] = c
+			}
 			s.lineBytes++
+			if s.lineBytes == len(s.begin) {
+				s.encoded = s.encoded || strings.EqualFold(string(s.begin[:]), transferEncoding)
+			}
 		}
 	}
 	return len(p), lines
 }
 
+// checkEncoding returns an error if a response of HTTP/1.0 has the field Transfer-Encoding.
+// Its framing is faulty (RFC 9112, section 6.1).
+func (s *headScanner) checkEncoding(response *http.Response) error {
+	if s.encoded && !response.ProtoAtLeast(1, 1) {
+		return errors.Newf("sender: the answer of %s has a transfer encoding", response.Proto)
+	}
+	return nil
+}
+
 // checkNames returns an error if a field has a name that is not a token (RFC 9112, section
 // 5.1). http.ReadResponse keeps a name with a blank, as a field that nobody knows: its line,
 // which may determine the length of the body, would be ignored. A field without values was
--- a/internal/sender/name_test.go
+++ b/internal/sender/name_test.go
@@ -91,3 +91,37 @@
 		is.Equal(body, "ok")
 	}
 }
+
+// TestEncodedOldResponse guards against chunks that are taken for the body itself, however
+// the head is divided among reads.
+func TestEncodedOldResponse(t *testing.T) {
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	for content, broken := range map[string]bool{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks:                                                true,
+		"HTTP/1.0 200 OK\nTRANSFER-ENCODING:chunked\nContent-Length: 2\n\nok":                                           true,
+		"HTTP/1.0 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: identity\r\n\r\nok":                                 true,
+		"HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks:           true,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks:                                                false,
+		"HTTP/1.0 200 OK\r\nContent-Length: 2\r\nTransfer-Encodings: chunked\r\nX: \r\n transfer-encoding: a\r\n\r\nok": false,
+	} {
+		for _, part := range []int{1, 7, len(content)} {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			in, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://x/", http.NoBody)
+			is.NoErr(err)
+			transport := NewTransport((&net.Dialer{}).DialContext, time.Minute)
+			response, outcome, err := Send(transport, Prepare(ctx, in, answerer(t, content, part), http.NoBody, 0))
+			is.Equal(err != nil, broken)
+			is.NoErr(ctx.Err())
+			if err == nil {
+				body, err := io.ReadAll(response.Body)
+				is.NoErr(err)
+				is.Equal(string(body), "ok")
+				is.NoErr(response.Body.Close())
+			} else {
+				is.Equal(outcome, fireflymoor.Unknown)
+			}
+			cancel()
+		}
+	}
+}
