internal/sender: refuse a head that an LF before a name cuts short

Callers got a body that was not the target's: if the name of a field begins with LF, the rest of the head was taken for the body.

Cause: a line may end with a single LF (RFC 9112, section 2.2, allows a recipient to accept that), so that an LF at the beginning of a name is an empty line, which ends the head.

Evidence: TestInvalidFieldNames also puts each byte at the beginning of a name now. LF was the only one that was accepted: "HTTP/1.1 200 OK", Content-Length 2, and "\nReport: a" gave the body "Re".

Change: a head whose first line ends with CRLF and which ends with a single LF is refused.

Why it works: the lines of a head are written by one program, which ends them alike. Heads with LF only are still accepted (TestValidFieldNames). In trailers the body is whole by then, and the connection is not used again, as bytes are left on it.

--- a/internal/runner/malformed_answer_test.go
+++ b/internal/runner/malformed_answer_test.go
@@ -58,6 +58,7 @@
 	"Report\t: a",
 	"Re\x00port: a",
 	"Re\x0bport: a",
+	"\nReport: a",
 	"\x7fReport: a",
 	"Report\x1f: a",
 	"Content-Length : 3",
@@ -85,7 +86,10 @@
 // TestMalformedTrailerIsNotPassedOn guards against an answer in whose trailers a field has
 // an invalid name.
 func TestMalformedTrailerIsNotPassedOn(t *testing.T) {
-	for _, line := range malformedNames[:7] {
+	for _, line := range malformedNames[:8] {
+		if line == "\nReport: a" {
+			continue // the LF ends the trailers, and the body is whole
+		}
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
 			checkMalformed(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+line+"\r\n\r\n")
 		})
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -231,7 +231,7 @@
 		if err := checkNames(response.Header); err != nil {
 			return nil, err
 		}
-		if err := c.source.scanner.checkEncoding(response); err != nil {
+		if err := c.source.scanner.check(response); err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
--- a/internal/sender/head.go
+++ b/internal/sender/head.go
@@ -19,6 +19,12 @@
 	// encoded is set once a line begins with transferEncoding. http.ReadResponse drops that
 	// field from a response of HTTP/1.0.
 	encoded bool
+	// last is the byte before the current one, and lines the number of lines before it.
+	last  byte
+	lines int
+	// crlf is set if the first line ends with CRLF, and cutShort if the head then ends
+	// with an empty line that has only LF.
+	crlf, cutShort bool
 }
 
 // scan reads the next bytes and returns how many of them belong to the head, and how
@@ -31,8 +37,7 @@
 		switch c {
 		case '\n':
 			lines++
-			s.ended = s.lineBytes == 0
-			s.lineBytes = 0
+			s.endLine()
 		case '\r':
 		default:
 			if s.lineBytes < len(s.begin) {
@@ -43,15 +48,32 @@
 				s.encoded = s.encoded || strings.EqualFold(string(s.begin[:]), transferEncoding)
 			}
 		}
+		s.last = c
 	}
 	return len(p), lines
 }
 
-// checkEncoding returns an error if a response of HTTP/1.0 has the field Transfer-Encoding.
-// Its framing is faulty (RFC 9112, section 6.1).
-func (s *headScanner) checkEncoding(response *http.Response) error {
-	if s.encoded && !response.ProtoAtLeast(1, 1) {
+// endLine ends the current line.
+func (s *headScanner) endLine() {
+	crlf := s.last == '\r'
+	if s.lines == 0 {
+		s.crlf = crlf
+	}
+	s.lines++
+	s.ended = s.lineBytes == 0
+	s.cutShort = s.ended && s.crlf && !crlf
+	s.lineBytes = 0
+}
+
+// check returns an error if the framing of the response with the scanned head is faulty: it
+// is of HTTP/1.0 and has the field Transfer-Encoding (RFC 9112, section 6.1), or its head
+// may go on, as the LF that ends it may belong to the name of a field.
+func (s *headScanner) check(response *http.Response) error {
+	switch {
+	case s.encoded && !response.ProtoAtLeast(1, 1):
 		return errors.Newf("sender: the answer of %s has a transfer encoding", response.Proto)
+	case s.cutShort:
+		return errors.New("sender: the head of the answer ends with LF and its lines with CRLF")
 	}
 	return nil
 }
--- a/internal/sender/name_test.go
+++ b/internal/sender/name_test.go
@@ -54,16 +54,20 @@
 func TestInvalidFieldNames(t *testing.T) {
 	for b := range 256 {
 		char := string([]byte{byte(b)})
-		// A colon ends the name, and a line feed the line.
-		if strings.ContainsAny(char, ":\n") || isToken("a"+char) {
+		if char == ":" || isToken("a"+char) {
 			continue
 		}
-		for place, name := range map[string]string{"inside": "Re" + char + "port", "end": "Report" + char} {
+		for place, name := range map[string]string{"inside": "Re" + char + "port", "end": "Report" + char, "begin": char + "Report"} {
 			for part, content := range map[string]string{
 				"head":          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n%s: a\r\n\r\nok",
 				"informational": "HTTP/1.1 103 Early Hints\r\n%s: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 				"trailer":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n%s: a\r\n\r\n",
 			} {
+				isFolded := place == "begin" && strings.ContainsAny(char, " \t") // continues the line before
+				endsTrailers := place == "begin" && char == "\n" && part == "trailer"
+				if isFolded || endsTrailers {
+					continue
+				}
 				t.Run(fmt.Sprintf("%s/%02x/%s", part, b, place), func(t *testing.T) {
 					t.Parallel()
 					_, err := exchange(t, fmt.Sprintf(content, name))
@@ -75,7 +79,7 @@
 }
 
 // TestValidFieldNames checks that all characters of a token are accepted, and trailers
-// that are announced and missing.
+// that are announced and missing, folded lines, and lines that end with LF.
 func TestValidFieldNames(t *testing.T) {
 	is := is.New(t)
 	const name = "Aa9!#$%&'*+-.^_`|~"
@@ -85,6 +89,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + name + ": a\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nFolded: a\r\n b: c\r\n\r\nok",
+		"HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
 	} {
 		body, err := exchange(t, content)
 		is.NoErr(err)
