internal/sender: refuse a response with a control byte in its reason phrase

Callers got an answer in whose first line there was a control byte after the status.

Cause: RFC 9112, section 4, allows no control characters there but the tab, and http.ReadResponse does not check them. A bare CR makes the line invalid (section 2.2).

Other bytes and two blanks before the status are still accepted (TestValidFieldNames).

--- a/internal/runner/malformed_answer_test.go
+++ b/internal/runner/malformed_answer_test.go
@@ -43,7 +43,7 @@
 // TestInvalidStatusIsNotPassedOn guards against an answer whose status is none of a final
 // response.
 func TestInvalidStatusIsNotPassedOn(t *testing.T) {
-	for _, status := range []string{"000", "000 None", "0", "099 Low", "600 High", "-20 Low", "2 0", "20x", "2000 High"} {
+	for _, status := range []string{"000", "000 None", "0", "099 Low", "600 High", "-20 Low", "2 0", "20x", "2000 High", "200 O\x01K"} {
 		t.Run(status, func(t *testing.T) {
 			checkMalformed(t, fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: 2\r\n\r\nok", status))
 		})
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -240,14 +241,16 @@
 	}
 }
 
-// checkStatus returns an error if a status is not valid (RFC 9110, section 15), if it
-// switches to another protocol, which no request asks for, or if an informational
-// response has a body. What follows such a head cannot be told apart from another
-// response. http.ReadResponse accepts signs and all numbers of three characters.
+// checkStatus returns an error if a status is not valid (RFC 9110, section 15), if its reason
+// phrase holds a control byte (RFC 9112, section 4), if it switches to another protocol,
+// which no request asks for, or if an informational response has a body. What follows such
+// a head cannot be told apart from another response. http.ReadResponse accepts signs, all
+// numbers of three characters, and all bytes in a reason phrase.
 func checkStatus(response *http.Response) error {
 	first := response.Status[0]
 	switch {
-	case first < '1' || first > '5', response.StatusCode == http.StatusSwitchingProtocols:
+	case first < '1' || first > '5', response.StatusCode == http.StatusSwitchingProtocols,
+		strings.ContainsFunc(response.Status, isControl):
 		return errors.Newf("sender: the answer has the invalid status %q", response.Status)
 	case response.StatusCode >= http.StatusOK:
 		return nil
@@ -257,6 +260,11 @@
 	return nil
 }
 
+// isControl reports whether a character is a control character other than a tab.
+func isControl(r rune) bool {
+	return r < ' ' && r != '\t' || r == '\x7f'
+}
+
 // isIdle reports whether the connection can carry another request: the last
 // request was written completely, and no data is buffered after its response.
 func (c *conn) isIdle() bool {
--- a/internal/sender/name_test.go
+++ b/internal/sender/name_test.go
@@ -79,7 +79,8 @@
 }
 
 // TestValidFieldNames checks that all characters of a token are accepted, and trailers
-// that are announced and missing, folded lines, and lines that end with LF.
+// that are announced and missing, folded lines, lines that end with LF, and a reason phrase
+// in Latin-1.
 func TestValidFieldNames(t *testing.T) {
 	is := is.New(t)
 	const name = "Aa9!#$%&'*+-.^_`|~"
@@ -90,6 +91,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nFolded: a\r\n b: c\r\n\r\nok",
 		"HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+		"HTTP/1.1  200 D\xe9j\xe0\tvu\r\nContent-Length: 2\r\n\r\nok",
 	} {
 		body, err := exchange(t, content)
 		is.NoErr(err)
--- a/internal/sender/status_test.go
+++ b/internal/sender/status_test.go
@@ -23,7 +23,7 @@
 // wait until its deadline. The peer keeps its connection open.
 func TestInvalidStatus(t *testing.T) {
 	const timeout = 2 * time.Second
-	statuses := []string{"000 None", "000", "099 Low", "+20 OK", "600 High", "999 High", "101 Switching Protocols"}
+	statuses := []string{"000 None", "000", "099 Low", "+20 OK", "600 High", "999 High", "101 Switching Protocols", "200 O\x00K", "200 O\x01K", "200 O\rK", "200 O\x1bK", "200 O\x7fK"}
 	heads := map[string]string{}
 	for _, status := range statuses {
 		heads[status] = fmt.Sprintf("HTTP/1.1 %s\r\nTest-Id: a\r\nContent-Length: %d\r\n\r\n%s", status, len(smuggled), smuggled)
