internal/sender: deliver a whole response that came before a reset

Callers got status 502, or a connection that ended, for an answer that had arrived whole: the target had sent it and reset the connection while the upload was being written. Without a length this was so even if the target had closed its side in order.

Cause: a failed write of an upload aborted the connection, with what had been received and not read yet.

Evidence: TestWholeAnswerBesideReset sends answers with a length, in chunks, and without both but with a close in order, over one node and two.

Change: the connection of a long request is not aborted after a write to the peer has failed with EPIPE or ECONNRESET. Failures of the body of the request and others still abort it.

Why it works: after such an error the connection has ended, so that reads find what has arrived and then its end, and do not wait. A part of a response is still told from a whole one by its length, its chunks, or the kind of the error.

--- a/internal/runner/broken_answer_test.go
+++ b/internal/runner/broken_answer_test.go
@@ -29,6 +29,9 @@
 	content string
 	// delay is the time between the content and the reset of the connection.
 	delay time.Duration
+	// ordered is set if the target closes its side of the connection before it resets
+	// the connection.
+	ordered bool
 	// open is set if the target keeps the connection open until its peer closes it.
 	open bool
 }
@@ -78,6 +81,9 @@
 		return
 	}
 	time.Sleep(answer.delay)
+	if answer.ordered {
+		_ = conn.CloseWrite()
+	}
 	_ = conn.SetLinger(0)
 }
 
@@ -341,3 +347,38 @@
 		}
 	}
 }
+
+// TestWholeAnswerBesideReset guards against answers that are lost although they have arrived
+// whole: the target resets the connection while an upload is being written, without a
+// length after it has closed its side of the connection in order.
+func TestWholeAnswerBesideReset(t *testing.T) {
+	const tries = 20
+	body := strings.Repeat("x", 19)
+	answers := map[string]rawAnswer{
+		"length": {content: "HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n" + body},
+		"chunks": {content: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"},
+		"end":    {content: "HTTP/1.1 200 OK\r\n\r\n" + body, ordered: true},
+	}
+	for _, call := range []rawCall{{protocol: 1, upload: true}, {protocol: 1, upload: true, chunked: true}} {
+		target := newRawTarget(t)
+		path := newCallPathTo(t, target.address())
+		for nodes, host := range path.hosts(t) {
+			for framing, answer := range answers {
+				t.Run(fmt.Sprintf("%s/%s/%s", nodes, call.name(), framing), func(t *testing.T) {
+					is := is.New(t)
+					lost := 0
+					for i := range tries {
+						sent := answer
+						sent.delay = time.Duration(i%2) * 5 * time.Millisecond
+						target.answer.Store(&sent)
+						if r := call.do(t, host); r.err != nil || r.body != body {
+							t.Logf("try %d: status %d, %d bytes, %v", i, r.status, len(r.body), r.err)
+							lost++
+						}
+					}
+					is.Equal(lost, 0) // whole answers that were lost
+				})
+			}
+		}
+	}
+}
--- a/internal/sender/conn.go
+++ b/internal/sender/conn.go
@@ -174,7 +174,9 @@
 }
 
 // send writes a request. If the body may be long, it does so in a separate
-// goroutine. A write error aborts the connection, and read returns it.
+// goroutine. A write error aborts the connection, and read returns it. But if the peer has
+// ended the connection meanwhile, reads find its end, and before that the response which the
+// peer may have sent.
 func (c *conn) send(request *http.Request) {
 	c.written.Store(nil)
 	write := func() error {
@@ -185,7 +187,7 @@
 		c.written.Store(&writeResult{
 			err: err,
 		})
-		if err != nil {
+		if err != nil && (!IsLong(request) || !c.output.peerEnded()) {
 			c.abort()
 		}
 		return err
--- a/internal/sender/output.go
+++ b/internal/sender/output.go
@@ -46,6 +46,11 @@
 	return o.err
 }
 
+// peerEnded reports whether a write has failed because the peer has ended the connection.
+func (o *output) peerEnded() bool {
+	return errors.IsAny(o.firstError(), unix.EPIPE, unix.ECONNRESET)
+}
+
 // checkEnd returns an error if the end of the stream that a read has found is not that of
 // the peer's stream. The kernel reports a reset only once: if it does so to a write,
 // reads find the end of the stream. A write fails with EPIPE if the reset followed the
