internal/receiver: end a broken response before the caller has sent the rest

Callers waited until their deadline for the rest of an answer that had broken off, with an upload of which they had yet to send the end, and now and then with one that they were sending.

Cause: two in the server of net/http, which closes a connection only after it has read up to 256 KiB of the rest of the request, and before that waits for the end of a read of the connection. If the goroutine that sends the upload finds its end at that moment, the server begins another read there, which nothing ends.

Change: before the connection of a long request is aborted, reads of it are made to fail, the connection to the target is closed, and the end of the sending is awaited.

Why it works: with both ends failing, the sending ends at once, and no read of the request succeeds or blocks afterwards.

--- a/internal/receiver/response.go
+++ b/internal/receiver/response.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/fireflymoor/fireflymoor"
 	"github.com/fireflymoor/fireflymoor/internal/annotator"
@@ -104,6 +105,7 @@
 	}
 	w.WriteHeader(response.StatusCode)
 	if err := copyBody(w, response); err != nil {
+		endSending(w, request, response)
 		panic(http.ErrAbortHandler)
 	}
 	end()
@@ -113,6 +115,19 @@
 	}
 }
 
+// endSending ends the sending of a long request to a target whose response broke off. The
+// server closes a connection only after it has read a part of the rest of the request, for
+// which the client may not send more, and it waits for the end of a read that may have begun
+// after its attempt to end it.
+func endSending(w http.ResponseWriter, request *http.Request, response *http.Response) {
+	if !sender.IsLong(request) {
+		return
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	_ = response.Body.Close()
+	sender.AwaitSent(response)
+}
+
 func copyBody(w http.ResponseWriter, response *http.Response) error {
 	buffer, _ := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
