internal/receiver: close the body of a broken response once

Callers saw nothing yet: the change that ends the sending of an upload before the connection is aborted closed the body of the response, and whoever had called Copy closed it again. Each close ends the call once more in the counts of the tracker, which balance the calls.

Change: the closed body is replaced by an empty one.

Why it works: the caller of Copy closes what the response holds then.

--- a/internal/receiver/response.go
+++ b/internal/receiver/response.go
@@ -125,6 +125,7 @@
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 	_ = response.Body.Close()
+	response.Body = http.NoBody // whoever called Copy closes it too, and each close is counted
 	sender.AwaitSent(response)
 }
 
