--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -56,6 +56,10 @@
 	nodes     []*process
 	workers   []*worker
 	operator  *operator
+	// tenants are those of the configurations.
+	tenants []tenant
+	// links is nil if the processes reach each other directly.
+	links *links
 }
 
 func newDeployment(program, templates string, log *record) (*deployment, error) {
@@ -72,9 +76,6 @@
 	if d.network, err = freeNetwork(); err != nil {
 		return nil, err
 	}
-	for zone := range zones {
-		d.seeds = append(d.seeds, hostPort(d.ip(zone, 100), portControl))
-	}
 	return d, nil
 }
 
@@ -91,7 +92,7 @@
 
 func isFree(network string) bool {
 	for zone := range zones {
-		for _, host := range []int{1, 2, 3, 100} {
+		for _, host := range []int{1, 2, 100, 101, 102, 200} {
 			for _, port := range []int{portControl, portInbound, portReady, portTarget, portOutbound, portOverlay, portPlatform} {
 				listener, err := net.Listen("tcp", hostPort(fmt.Sprintf("%s.%d.%d", network, zone+1, host), port))
 				if err != nil {
@@ -158,6 +159,13 @@
 
 // startReplicas starts a control replica in each zone.
 func (d *deployment) startReplicas() error {
+	for zone := range zones {
+		ip := d.ip(zone, 100)
+		if d.links != nil {
+			ip = d.relayIP(zone, 100)
+		}
+		d.seeds = append(d.seeds, hostPort(ip, portControl))
+	}
 	for zone, name := range zones {
 		p, err := d.newProcess("core-"+name+"-1", "control", zone, 100, "")
 		if err != nil {
@@ -203,6 +211,19 @@
 		file:   filepath.Join(d.folder, name+".ini"),
 		output: filepath.Join(d.folder, name+".log"),
 	}
+	if d.links != nil {
+		relay := d.relayIP(zone, host)
+		text += "\n[advertise]\noverlay = " + hostPort(relay, portOverlay) + "\n"
+		if err := d.links.listen(relay, ip, portOverlay); err != nil {
+			return nil, err
+		}
+		if role == "node" {
+			text += "calls = " + hostPort(relay, portInbound) + "\n"
+			if err := d.links.listen(relay, ip, portInbound); err != nil {
+				return nil, err
+			}
+		}
+	}
 	return p, os.WriteFile(p.file, []byte(text), 0o600)
 }
 
--- a/review/standin2/operator.go
+++ b/review/standin2/operator.go
@@ -23,6 +23,14 @@
 	MaxAttempts int     `json:"max_attempts"`
 }
 
+// tenant is a tenant of a configuration.
+type tenant struct {
+	Name  string   `json:"name"`
+	Keys  []string `json:"api_keys"`
+	Rate  float64  `json:"rate_per_s"`
+	Burst float64  `json:"burst"`
+}
+
 // operator sends configurations as the platform does.
 type operator struct {
 	deployment *deployment
@@ -52,7 +60,7 @@
 			"tls":               false,
 		})
 	}
-	body, err := json.Marshal(map[string]any{
+	configuration := map[string]any{
 		"version":  fmt.Sprintf("r%d", version),
 		"routes":   routes,
 		"services": list,
@@ -62,7 +70,11 @@
 			"header_timeout_ms": 3000,
 			"idle_timeout_ms":   15000,
 		},
-	})
+	}
+	if len(o.deployment.tenants) > 0 {
+		configuration["tenants"] = o.deployment.tenants
+	}
+	body, err := json.Marshal(configuration)
 	if err != nil {
 		return err
 	}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -33,7 +33,9 @@
 
 	lock sync.Mutex
 	// work is called when a request has been read, if it is not nil. It may take time.
-	work     func(w http.ResponseWriter, request *http.Request)
+	work func(w http.ResponseWriter, request *http.Request)
+	// quiet is set if runs are not written to the record.
+	quiet    bool
 	sequence int
 	state    string
 	runs     []executed
@@ -79,6 +81,13 @@
 	w.work = work
 }
 
+// setQuiet makes the worker write no runs to the record.
+func (w *worker) setQuiet() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.quiet = true
+}
+
 // ServeHTTP runs a request that is meant for this worker.
 func (w *worker) ServeHTTP(out http.ResponseWriter, request *http.Request) {
 	reached := time.Now()
@@ -97,10 +106,12 @@
 	if err != nil {
 		return
 	}
-	w.log.printf("run: %s runs %s: %s %s with %d bytes", w.id, id, request.Method, request.RequestURI, len(body))
 	w.lock.Lock()
-	work := w.work
+	work, quiet := w.work, w.quiet
 	w.lock.Unlock()
+	if !quiet {
+		w.log.printf("run: %s runs %s: %s %s with %d bytes", w.id, id, request.Method, request.RequestURI, len(body))
+	}
 	if work != nil {
 		work(out, request)
 	}
