--- a/review/standin2/case_pipeline.go
+++ b/review/standin2/case_pipeline.go
@@ -17,6 +17,8 @@
 	lookupBudget = 4 * time.Second
 	// lookupStay is how long a consumer that leaves stays.
 	lookupStay = 300 * time.Millisecond
+	// lookupRounds is how often they are sent, so that the leaving lasts some 2 s.
+	lookupRounds = 2
 	// allowedShare is the share of the requests at which workers may still be at work.
 	allowedShare = 0.25
 )
@@ -39,7 +41,7 @@
 		stay = lookupStay
 	}
 	request := lookup("/lepu270/certificate", lookupBudget)
-	for range 3 {
+	for range lookupRounds {
 		for i := range 4 { // eight of 27 consumers leave
 			g.start(ctx, d.nodes[i], stay, request)
 			g.start(ctx, d.nodes[i], stay, request, request)
@@ -48,8 +50,9 @@
 			g.start(ctx, d.nodes[i%len(d.nodes)], 0, request)
 		}
 		g.running.Wait()
-		pause(ctx, 2*lookupWork+time.Second)
+		pause(ctx, 300*time.Millisecond)
 	}
+	pause(ctx, lookupBudget)
 	begun, working := 0, 0
 	for _, w := range d.workers {
 		for _, e := range w.executed() {
