--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -9,11 +9,23 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // waitLimit bounds the time until a close has arrived over the loopback interface.
 const waitLimit = 5 * time.Second
 
+// newDetector returns a Detector that does not run.
+func newDetector(t *testing.T) *Detector {
+	t.Helper()
+	d, err := New(prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d
+}
+
 // TestHasLeft guards against callers that are not noticed to have left, and against
 // callers that are taken to have left while they wait for their response.
 func TestHasLeft(t *testing.T) {
@@ -36,7 +48,7 @@
 					<-release
 				}),
 			}
-			Attach(server)
+			newDetector(t).Attach(server)
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
 			go func() { _ = server.Serve(listener) }()
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -267,8 +267,8 @@
 }
 
 // mayRead reports whether more bytes may be read ahead. They may be even while no more
-// calls may begin, because the end of the connection would not be noticed otherwise: the
-// server does not read on once it has a byte of the next request.
+// calls may begin, because some systems would not report the end of the connection
+// otherwise: the server does not read on once it has a byte of the next request.
 func (c *conn) mayRead() bool {
 	return c.holding && len(c.ahead) < maxAheadBytes
 }
--- a/internal/runner/call_test.go
+++ b/internal/runner/call_test.go
@@ -20,6 +20,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/balancer"
 	"github.com/fireflymoor/fireflymoor/internal/caller"
 	"github.com/fireflymoor/fireflymoor/internal/counter"
+	"github.com/fireflymoor/fireflymoor/internal/detector"
 	"github.com/fireflymoor/fireflymoor/internal/dialer"
 	"github.com/fireflymoor/fireflymoor/internal/ejector"
 	"github.com/fireflymoor/fireflymoor/internal/forwarder"
@@ -148,12 +149,25 @@
 	return fireflymoor.NewView(configuration.WithNumber(1), all)
 }
 
+// newTestServer returns a server like those of a process, whose detector runs until the
+// test ends.
+func newTestServer(b testing.TB, handler http.Handler) *http.Server {
+	departures, err := detector.New(prometheus.NewRegistry())
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	b.Cleanup(stop)
+	go departures.Run(ctx)
+	return newServer(departures, handler)
+}
+
 func serveHandler(b testing.TB, handler http.Handler) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
-	s := newServer(handler)
+	s := newTestServer(b, handler)
 	s.Protocols = &http.Protocols{}
 	s.Protocols.SetHTTP1(true)
 	s.Protocols.SetUnencryptedHTTP2(true) // as on the callers' port
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -132,11 +132,11 @@
 		Founding: c.settings.Founding,
 	}, c)
 	service := operator.NewService(&operatorReplica{control: c}, renderer.New(parser.New()))
-	c.operators = newServer(operator.NewHandler(service, c.settings.Tokens))
+	c.operators = newServer(c.detector, operator.NewHandler(service, c.settings.Tokens))
 	if c.adapter != nil {
-		c.operators = newServer(c.adapter.Operators(service))
+		c.operators = newServer(c.detector, c.adapter.Operators(service))
 	}
-	c.platform = newServer(platform.NewHandler(c.registry, c.unreadyReason, nil, nil))
+	c.platform = newServer(c.detector, platform.NewHandler(c.registry, c.unreadyReason, nil, nil))
 	return nil
 }
 
--- a/internal/runner/departed_caller_test.go
+++ b/internal/runner/departed_caller_test.go
@@ -288,7 +288,7 @@
 				for range abandonedCallers {
 					f.is.NoErr(f.send(listener.Addr().String(), method, "/probe").Close())
 				}
-				server := newServer(handler)
+				server := newTestServer(t, handler)
 				go func() { _ = server.Serve(listener) }()
 				defer func() { _ = server.Close() }()
 				time.Sleep(settleTime)
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -70,6 +70,7 @@
 	// messages of other processes.
 	heads     *acceptor.Budget
 	messages  *acceptor.Budget
+	detector  *detector.Detector
 	logWriter io.Closer
 	adapter   Adapter
 	panics    prometheus.Counter
@@ -104,6 +105,11 @@
 
 		quarantine: quarantiner.New(),
 	}
+	var err error
+	if m.detector, err = detector.New(registry); err != nil {
+		_ = logWriter.Close()
+		return nil, errors.Wrapf(err, "process %s: start", settings.Name)
+	}
 	m.panics = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "fireflymoor_panics_total",
 		Help: "Panics of single tasks and requests that were contained.",
@@ -152,6 +158,7 @@
 }
 
 func (m *member) close() {
+	m.detector.Close()
 	for _, l := range m.listeners {
 		_ = l.Close()
 	}
@@ -196,8 +203,9 @@
 }
 
 // newServer returns an HTTP server with limits on the time and size of request
-// headers and on idle connections.
-func newServer(handler http.Handler) *http.Server {
+// headers and on idle connections. The detector cancels the requests of callers that have
+// left.
+func newServer(departures *detector.Detector, handler http.Handler) *http.Server {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -205,7 +213,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          nil,
 	}
-	detector.Attach(server)
+	departures.Attach(server)
 	resetter.Attach(server)
 	return server
 }
@@ -253,6 +261,7 @@
 	defer stopSequencer()
 	var group, sequencerGroup sync.WaitGroup
 	sequencerGroup.Go(func() { m.sequencer.Run(sequencerCtx) })
+	group.Go(func() { m.detector.Run(workCtx) })
 	m.serveOverlay(workCtx, &group, mux)
 	group.Go(func() { m.coordinator.Run(workCtx) })
 	group.Go(func() { m.closeIdle(workCtx) })
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -202,17 +202,17 @@
 		RouteLog:     n.rateLimitedLog(),
 		Decisions:    n.settings.Decisions,
 	})
-	n.callers = newServer(n.closeWhenLeaving(handler))
+	n.callers = newServer(n.detector, n.closeWhenLeaving(handler))
 	n.callers.Protocols = &http.Protocols{}
 	n.callers.Protocols.SetHTTP1(true)
 	n.callers.Protocols.SetUnencryptedHTTP2(true)
 	calls := receiver.New(n.coordinator.IsLocalBoot, local, registrar.New(), n.rateLimitedLog())
 	calls.UseMetrics(receiver.NewMetrics(n.registry))
-	n.calls = newServer(n.packer.Handler(calls))
-	n.platform = newServer(platform.NewHandler(n.registry, n.unreadyReason, n.targets, n.quarantine))
+	n.calls = newServer(n.detector, n.packer.Handler(calls))
+	n.platform = newServer(n.detector, platform.NewHandler(n.registry, n.unreadyReason, n.targets, n.quarantine))
 	if n.adapter != nil {
-		n.ready = newServer(n.adapter.Ready(n.unreadyReason))
-		n.announcements = newServer(n.adapter.Announcements(n.targets))
+		n.ready = newServer(n.detector, n.adapter.Ready(n.unreadyReason))
+		n.announcements = newServer(n.detector, n.adapter.Announcements(n.targets))
 	}
 }
 
