--- a/internal/detector/peek.go
+++ b/internal/detector/ended_other.go
@@ -1,3 +1,5 @@
+//go:build !linux
+
 package detector
 
 import (
--- a/internal/detector/poller_linux_test.go
+++ b/internal/detector/poller_linux_test.go
@@ -117,7 +117,9 @@
 					ctx := <-s.contexts
 					time.Sleep(20 * time.Millisecond)
 					is.NoErr(ctx.Err()) // the caller waits
+					is.True(!HasLeft(ctx))
 					is.NoErr(leave(raw))
+					is.True(waitUntil(func() bool { return HasLeft(ctx) }))
 					is.True(waitUntil(func() bool { return ctx.Err() != nil })) // the request is canceled
 				})
 			}
