--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -131,8 +131,8 @@
 		return "service is not in kebab case"
 	case err != nil || net.ParseIP(host) == nil:
 		return "address is not IP:PORT"
-	case len(a.Version) > maxVersionBytes:
-		return "version is too long"
+	case a.Version != "" && !parser.ValidText(a.Version, maxVersionBytes):
+		return fmt.Sprintf("version is not text of at most %d bytes", maxVersionBytes)
 	case a.Slots < 1 || a.Slots > parser.MaxSlots:
 		return fmt.Sprintf("slots is not between 1 and %d", parser.MaxSlots)
 	}
