--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -52,6 +52,8 @@
 	// this process starts. A process that has just started gets the facts from one
 	// neighbour and not from each.
 	digestInterval = time.Second
+	// invalidLogPeriod is the minimum time between two log lines about invalid records.
+	invalidLogPeriod = time.Second
 )
 
 // A Watcher is notified of changes, on the sequencer.
@@ -121,9 +123,14 @@
 	heldVersion     uint64
 	linkTimeouts    []time.Time
 
+	// invalidLog is limited, because an invalid record is sent again and again.
+	invalidLog zerolog.Logger
+
 	admitLock sync.Mutex
 	admitter  *admitter.Admitter
 	published atomic.Pointer[publishedState]
+	// linkCount is the number of links that are up, for goroutines beside the sequencer.
+	linkCount atomic.Int64
 }
 
 // origin identifies the link over which a fact to flood was received. The peer
@@ -166,6 +173,10 @@
 		offers:      map[string]map[string]bool{},
 		admitter:    admitter.New(admitsPerSecond, admitRetrySpread, rand.New(rand.NewPCG(options.Random.Uint64(), 0))),
 		lastTick:    now,
+		invalidLog: options.Log.Sample(&zerolog.BurstSampler{
+			Burst:  1,
+			Period: invalidLogPeriod,
+		}),
 	}
 	c.distributor.SetLinkRate(options.LinkRate)
 	c.linker = linker.NewLinker(c, options.Dialer)
@@ -194,9 +205,9 @@
 	return c.distributor
 }
 
-// Links returns the number of links that are up.
+// Links returns the number of links that are up. It may be called from any goroutine.
 func (c *Coordinator) Links() int {
-	return len(c.links)
+	return int(c.linkCount.Load())
 }
 
 // SetHeldVersion sets the number of the version in force here, as sent in
--- a/internal/coordinator/handler.go
+++ b/internal/coordinator/handler.go
@@ -118,6 +118,7 @@
 	}
 	now := time.Now()
 	c.links[name] = link
+	c.linkCount.Store(int64(len(c.links)))
 	p := c.peer(name)
 	p.dialFailures = 0
 	p.dialTimeouts = 0
@@ -317,6 +318,11 @@
 	})
 }
 
+// Invalid implements linker.Handler.
+func (c *Coordinator) Invalid(peer, direction string, err error) {
+	c.invalidLog.Error().Str("peer", peer).Str("direction", direction).Err(err).Msg("overlay: invalid records left out")
+}
+
 // Down implements linker.Handler.
 func (c *Coordinator) Down(link *linker.Link, err error) {
 	c.options.Sequencer.Post(func() {
@@ -330,6 +336,7 @@
 		return
 	}
 	delete(c.links, name)
+	c.linkCount.Store(int64(len(c.links)))
 	now := time.Now()
 	c.options.Log.Info().Str("peer", name).Err(err).Msg("overlay: link down")
 	c.Apply(c.distributor.OnPeerDown(name, now))
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -15,6 +15,7 @@
 	bytesOut     prometheus.Counter
 	messageBytes *prometheus.CounterVec
 	accepted     prometheus.Counter
+	invalid      *prometheus.CounterVec
 }
 
 // New returns a Counter whose metrics are registered with registry.
@@ -34,8 +35,12 @@
 			Name: "fireflymoor_control_connections_total",
 			Help: "Control connections accepted.",
 		}),
+		invalid: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflymoor_invalid_messages_total",
+			Help: "Messages of links of which records were left out, because they cannot be encoded or decoded, by direction.",
+		}, []string{"direction"}),
 	}
-	registry.MustRegister(bytes, c.messageBytes, c.accepted)
+	registry.MustRegister(bytes, c.messageBytes, c.accepted, c.invalid)
 	return c
 }
 
@@ -44,6 +49,12 @@
 	c.messageBytes.WithLabelValues(kind).Add(float64(size))
 }
 
+// CountInvalid counts one message in the given direction that could not be encoded or
+// decoded in full.
+func (c *Counter) CountInvalid(direction string) {
+	c.invalid.WithLabelValues(direction).Inc()
+}
+
 // CountAccepted counts one accepted connection.
 func (c *Counter) CountAccepted() {
 	c.accepted.Inc()
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -65,6 +65,9 @@
 	Quiet(link *Link)
 	// Down is called when a link that was up has ended, with the reason.
 	Down(link *Link, err error)
+	// Invalid is called when a frame to or from a peer could not be encoded or decoded,
+	// and the records at fault were left out. The direction is "in" or "out".
+	Invalid(peer, direction string, err error)
 }
 
 // stream is one end of a drpc stream of frames.
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -115,10 +115,11 @@
 		cancel(ErrTimeout)
 	})
 	defer openTimer.Stop()
-	s, err := messenger.NewDRPCOverlayClient(conn).Link(ctx)
+	opening, err := messenger.NewDRPCOverlayClient(conn).Link(ctx)
 	if err != nil {
 		return errors.Wrapf(err, "linker %s: open link", address)
 	}
+	s := l.tolerate(opening, func() string { return address })
 	hello := l.handler.Hello(purpose != forLink)
 	hello.GetHello().Announcing = purpose == forAnnouncement
 	if err := s.Send(hello); err != nil {
@@ -140,6 +141,18 @@
 	return link.run(ctx, s, l.handler, l.dialer.Counter())
 }
 
+// tolerate returns a stream that does not end with an invalid frame. The function peer
+// identifies the other end.
+func (l *Linker) tolerate(s stream, peer func() string) stream {
+	return &tolerantStream{
+		stream: s,
+		onInvalid: func(direction string, err error) {
+			l.dialer.Counter().CountInvalid(direction)
+			l.handler.Invalid(peer(), direction, err)
+		},
+	}
+}
+
 // A RetryAfterError reports that a peer temporarily refuses a link.
 type RetryAfterError struct {
 	// After is the time to wait before the next attempt.
@@ -201,6 +214,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	link := newLink(cancel, false)
+	s = l.tolerate(s, func() string { return link.Peer().GetName() })
 	if err := link.receiveHello(s); err != nil {
 		return errors.Wrap(err, "linker: receive hello")
 	}
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -192,6 +192,10 @@
 		LinkRate:    m.settings.LinkRate,
 		Quarantiner: m.quarantine,
 	}, time.Now())
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "fireflymoor_links",
+		Help: "Links to other processes that are up. A process without any goes on with the configuration that it has.",
+	}, func() float64 { return float64(m.coordinator.Links()) }))
 }
 
 // closeIdle closes idle client connections periodically until ctx ends.
