--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -13,12 +14,15 @@
 	httptransport "github.com/go-kit/kit/transport/http"
 
 	"github.com/fireflymoor/fireflymoor/pkg/administrator"
+	"github.com/fireflymoor/fireflymoor/pkg/parser"
 )
 
 const (
 	// maxRequestBytes bounds the size of a request body. It has room for a template
 	// and values of the maximum size with JSON escapes.
 	maxRequestBytes = 4 << 20
+	// maxPathTextBytes is the maximum length of a name in the path of a request.
+	maxPathTextBytes = 1024
 	// allTeams stands for the team of the token that authorizes all requests.
 	allTeams = "*"
 )
@@ -48,7 +52,7 @@
 	handle := func(pattern string, scopeOf scopeFunc, decode httptransport.DecodeRequestFunc, e endpoint.Endpoint) {
 		mux.Handle(pattern, httptransport.NewServer(
 			authorize(tokens, scopeOf)(e),
-			decode,
+			checkPath(decode),
 			httptransport.EncodeJSONResponse,
 			httptransport.ServerBefore(withToken, withMethod),
 			httptransport.ServerErrorEncoder(encodeError),
@@ -184,6 +188,19 @@
 	return found
 }
 
+// checkPath returns a decoder that refuses requests whose path names what no message
+// between processes can hold.
+func checkPath(decode httptransport.DecodeRequestFunc) httptransport.DecodeRequestFunc {
+	return func(ctx context.Context, r *http.Request) (any, error) {
+		for _, wildcard := range []string{"team", "service", "node"} {
+			if value := r.PathValue(wildcard); value != "" && !parser.ValidText(value, maxPathTextBytes) {
+				return nil, invalidError("decode", fmt.Sprintf("the %s in the path is not text of at most %d bytes", wildcard, maxPathTextBytes))
+			}
+		}
+		return decode(ctx, r)
+	}
+}
+
 func decodeChange(_ context.Context, r *http.Request) (any, error) {
 	request := administrator.ChangeRequest{}
 	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxRequestBytes))
