--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -197,7 +197,7 @@
 	}
 	key, ok := h.idempotencyKey(request, route)
 	if !ok {
-		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, fmt.Sprintf("the idempotency key is not one of 1 to %d bytes", maxKeyBytes))
+		h.refuse(w, id, http.StatusBadRequest, fireflymoor.NotRun, fmt.Sprintf("the idempotency key is not text of 1 to %d bytes", maxKeyBytes))
 		return
 	}
 	if refused = h.checkQuota(a.identity, start); refused != nil {
--- a/internal/caller/idempotency.go
+++ b/internal/caller/idempotency.go
@@ -14,6 +14,7 @@
 	"github.com/fireflymoor/fireflymoor/internal/claimer"
 	"github.com/fireflymoor/fireflymoor/internal/detector"
 	"github.com/fireflymoor/fireflymoor/internal/messenger"
+	"github.com/fireflymoor/fireflymoor/pkg/parser"
 )
 
 const (
@@ -37,7 +38,7 @@
 	if h.options.Claims == nil || len(values) == 0 || route.MayRepeat(request.Method) {
 		return "", true
 	}
-	return values[0], len(values) == 1 && values[0] != "" && len(values[0]) <= maxKeyBytes
+	return values[0], len(values) == 1 && parser.ValidText(values[0], maxKeyBytes)
 }
 
 // fingerprint returns a hash that distinguishes a resend of a call from another
--- a/internal/caller/idempotency_test.go
+++ b/internal/caller/idempotency_test.go
@@ -79,6 +79,13 @@
 			status:  http.StatusBadRequest,
 			outcome: "not-run",
 		},
+		{
+			name:    "a key that no message to a keeper can hold",
+			key:     "\xff\xfe",
+			claims:  &fixedClaims{err: errors.Wrap(claimer.ErrNoQuorum, "test")},
+			status:  http.StatusBadRequest,
+			outcome: "not-run",
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
