--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -162,13 +162,7 @@
 		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
-	innerState := server.ConnState
-	server.ConnState = func(raw net.Conn, state http.ConnState) {
-		if innerState != nil {
-			innerState(raw, state)
-		}
-		l.connState(raw, state)
-	}
+	server.ConnState = l.connState
 	server.Handler = l.handler(server.Handler)
 	server.HTTP2 = &http.HTTP2Config{
 		MaxConcurrentStreams: maxStreams,
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -9,10 +9,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,17 +23,21 @@
 
 type connKey struct{}
 
+// watchDelay is how long a request may leave a part of its body unread until its
+// connection is watched. Most bodies are read at once, and net/http reads on then.
+const watchDelay = 50 * time.Millisecond
+
 // A Detector cancels the contexts of requests whose connections have ended, for all
-// servers of a process.
+// servers of a process. It watches only connections on which net/http does not read on,
+// because each watch costs two system calls and a wake-up.
 type Detector struct {
 	poller   *poller
 	failures prometheus.Counter
 
 	lock    sync.Mutex
-	tokens  map[net.Conn]uint64
-	cancels map[uint64]context.CancelFunc
-	// last is the token of the newest connection. Unlike descriptors, tokens are not
-	// used again.
+	watched map[uint64]*conn
+	// last is the token of the connection that was watched last. Unlike descriptors,
+	// tokens are not used again.
 	last uint64
 }
 
@@ -47,84 +54,117 @@
 			Name: "fireflymoor_unwatched_connections_total",
 			Help: "Connections whose end is not noticed while bytes before it are unread, because the system does not watch them.",
 		}),
-		tokens:  map[net.Conn]uint64{},
-		cancels: map[uint64]context.CancelFunc{},
+		watched: map[uint64]*conn{},
 	}
 	registry.MustRegister(d.failures, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "fireflymoor_watched_connections",
-		Help: "Open connections whose end is noticed at once.",
-	}, func() float64 { return float64(d.watched()) }))
+		Help: "Open connections that are watched for their end, because bytes before it were left unread.",
+	}, func() float64 { return float64(d.count()) }))
 	return d, nil
 }
 
 // Attach makes the Detector cancel the contexts of the requests of a server, and makes
-// HasLeft work for them. Hooks that are set later must call the server's ConnContext and
-// ConnState as they were before.
+// HasLeft work for them. The server's listener must be one that Wrap has returned.
+// Hooks that are set later must call the server's ConnContext as it was before.
 func (d *Detector) Attach(server *http.Server) {
 	inner := server.ConnContext
-	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+	server.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
 		if inner != nil {
-			ctx = inner(ctx, conn)
+			ctx = inner(ctx, accepted)
 		}
-		socket := SocketOf(conn)
-		if socket == nil {
-			return ctx
+		if socket := SocketOf(accepted); socket != nil {
+			ctx = context.WithValue(ctx, connKey{}, socket)
 		}
-		return d.watch(context.WithValue(ctx, connKey{}, socket), conn, socket)
-	}
-	innerState := server.ConnState
-	server.ConnState = func(conn net.Conn, state http.ConnState) {
-		if innerState != nil {
-			innerState(conn, state)
+		if c := underlying(accepted); c != nil {
+			ctx = c.bind(ctx)
 		}
-		if state == http.StateClosed || state == http.StateHijacked {
-			d.forget(conn)
+		return ctx
+	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		defer awaitBody(request)()
+		handler.ServeHTTP(w, request)
+	})
+}
+
+// awaitBody makes the connection of a request be watched if the body has not been read
+// within watchDelay. The function that it returns ends that.
+func awaitBody(request *http.Request) (stop func()) {
+	c, _ := request.Context().Value(watchKey{}).(*conn)
+	switch {
+	case c == nil:
+		return func() {}
+	case request.TLS != nil:
+		c.watch() // what net/http reads of it does not show in the reads of the socket
+		return func() {}
+	case request.Body == nil || request.Body == http.NoBody:
+		return func() {}
+	}
+	b := &body{
+		ReadCloser: request.Body,
+	}
+	request.Body = b
+	timer := time.AfterFunc(watchDelay, func() {
+		if !b.ended.Load() {
+			c.watch()
 		}
+	})
+	return func() { timer.Stop() }
+}
+
+// body is the body of a request that records whether it was read to its end.
+type body struct {
+	io.ReadCloser
+
+	ended atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.ended.Store(true)
 	}
+	return n, err
 }
 
-// watch returns a context that ends with a connection.
-func (d *Detector) watch(ctx context.Context, conn net.Conn, socket syscall.RawConn) context.Context {
-	ctx, cancel := context.WithCancel(ctx)
+// add watches a connection and returns its token.
+func (d *Detector) add(c *conn, socket syscall.RawConn) uint64 {
 	d.lock.Lock()
 	d.last++
 	token := d.last
-	d.tokens[conn] = token
-	d.cancels[token] = cancel
+	d.watched[token] = c
 	d.lock.Unlock()
 	if err := d.poller.add(socket, token); err != nil {
 		d.failures.Inc()
-		d.forget(conn)
+		d.remove(token)
 	}
-	return ctx
+	return token
 }
 
-// forget removes a connection that this process has closed or that is no longer the
-// server's.
-func (d *Detector) forget(conn net.Conn) {
+// remove forgets a connection, which is no longer watched once it is closed.
+func (d *Detector) remove(token uint64) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	token := d.tokens[conn]
-	delete(d.tokens, conn)
-	delete(d.cancels, token)
+	delete(d.watched, token)
 }
 
 // end cancels the requests of a connection that its peer has ended.
 func (d *Detector) end(token uint64) {
 	d.lock.Lock()
-	cancel := d.cancels[token]
-	delete(d.cancels, token)
+	c := d.watched[token]
+	delete(d.watched, token)
 	d.lock.Unlock()
-	if cancel != nil {
-		cancel()
+	if c != nil {
+		c.cancel()
 	}
 }
 
-// watched returns the number of open connections.
-func (d *Detector) watched() int {
+// count returns the number of connections that are watched.
+func (d *Detector) count() int {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	return len(d.cancels)
+	return len(d.watched)
 }
 
 // Run cancels the contexts of requests until ctx ends. A Detector runs once.
--- a/internal/detector/ended_linux.go
+++ b/internal/detector/ended_linux.go
@@ -5,8 +5,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// hasEnded reports whether the peer of a connection has ended it, or its sending side.
-func hasEnded(fd int) bool {
+// hasEndedBehind reports whether there is an end behind the unread bytes of a connection.
+func hasEndedBehind(fd int) bool {
 	polled := []unix.PollFd{{
 		Fd:     int32(fd),
 		Events: unix.POLLRDHUP, // a reset is always reported
--- a/internal/detector/poller_linux_test.go
+++ b/internal/detector/poller_linux_test.go
@@ -17,6 +17,9 @@
 // aheadSize is more than net/http and the pipeliner read ahead on a connection, in bytes.
 const aheadSize = 32 << 10
 
+// pathWatched is the path of a request that ends once two connections are watched.
+const pathWatched = "/watched"
+
 // watchedServer is a server with a Detector that runs, whose handler does not read the body
 // of a request.
 type watchedServer struct {
@@ -35,6 +38,11 @@
 		release:  make(chan struct{}),
 	}
 	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == pathWatched {
+			s.contexts <- request.Context()
+			waitUntil(func() bool { return s.detector.count() == 2 })
+			return
+		}
 		select {
 		case s.contexts <- request.Context():
 		case <-s.release: // a request behind the one that the test looks at
@@ -42,6 +50,7 @@
 		<-s.release
 	}))
 	s.detector.Attach(s.Config)
+	s.Listener = s.detector.Wrap(s.Listener)
 	if secure {
 		s.StartTLS()
 	} else {
@@ -130,28 +139,61 @@
 // TestConnectionsAreForgotten guards against memory that is held for connections that have
 // ended, by either side, and against the end of one that cancels the requests of another.
 func TestConnectionsAreForgotten(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 	is := is.New(t)
 	s := newWatchedServer(t, false)
+	defer close(s.release)
 	stays, raw := s.dial(is)
 	defer func() { _ = raw.Close() }()
-	_, err := io.WriteString(stays, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	_, err := io.WriteString(stays, head)
 	is.NoErr(err)
 	ctx := <-s.contexts
+	_, err = io.WriteString(stays, head)
+	is.NoErr(err)
+	is.True(waitUntil(func() bool { return s.detector.count() == 1 }))
 	for i := range 50 {
 		conn, _ := s.dial(is)
-		is.True(waitUntil(func() bool { return s.detector.watched() == 2 }))
+		// The server ends the connection, unless the caller does so first.
+		_, err := io.WriteString(conn, "GET "+pathWatched+" HTTP/1.1\r\nHost: a\r\n\r\n")
+		is.NoErr(err)
+		<-s.contexts
+		_, err = io.WriteString(conn, "no request\r\n\r\n")
+		is.NoErr(err)
 		if i%2 == 0 {
-			_, err := io.WriteString(conn, "no request\r\n\r\n") // the server closes the connection
+			_, err = io.Copy(io.Discard, conn)
 			is.NoErr(err)
-			_, _ = io.Copy(io.Discard, conn)
+		} else {
+			is.True(waitUntil(func() bool { return s.detector.count() == 2 }))
 		}
 		is.NoErr(conn.Close())
-		is.True(waitUntil(func() bool { return s.detector.watched() == 1 }))
+		is.True(waitUntil(func() bool { return s.detector.count() == 1 }))
 	}
-	s.detector.lock.Lock()
-	tokens := len(s.detector.tokens)
-	s.detector.lock.Unlock()
 	is.NoErr(ctx.Err()) // its caller waits
-	is.Equal(tokens, 1)
-	close(s.release)
+}
+
+// TestOrdinaryRequestsAreNotWatched guards against the cost of watching connections whose
+// end net/http notices by itself.
+func TestOrdinaryRequestsAreNotWatched(t *testing.T) {
+	is := is.New(t)
+	d := newDetector(t)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		time.Sleep(2 * watchDelay)
+	}))
+	d.Attach(server.Config)
+	server.Listener = d.Wrap(server.Listener)
+	server.Start()
+	defer server.Close()
+	for range 2 {
+		response, err := server.Client().Get(server.URL)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		response, err = server.Client().Post(server.URL, "text/plain", strings.NewReader("body"))
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+	}
+	d.lock.Lock()
+	last := d.last
+	d.lock.Unlock()
+	is.Equal(last, uint64(0)) // none was ever watched
 }
--- a/internal/runner/call_test.go
+++ b/internal/runner/call_test.go
@@ -149,9 +149,9 @@
 	return fireflymoor.NewView(configuration.WithNumber(1), all)
 }
 
-// newTestServer returns a server like those of a process, whose detector runs until the
-// test ends.
-func newTestServer(b testing.TB, handler http.Handler) *http.Server {
+// newTestServer returns a server like those of a process and its listener. The detector runs
+// until the test ends.
+func newTestServer(b testing.TB, listener net.Listener, handler http.Handler) (*http.Server, net.Listener) {
 	departures, err := detector.New(prometheus.NewRegistry())
 	if err != nil {
 		b.Fatal(err)
@@ -159,7 +159,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	b.Cleanup(stop)
 	go departures.Run(ctx)
-	return newServer(departures, handler)
+	return newServer(departures, handler), departures.Wrap(listener)
 }
 
 func serveHandler(b testing.TB, handler http.Handler) string {
@@ -167,11 +167,11 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	s := newTestServer(b, handler)
+	s, watched := newTestServer(b, listener, handler)
 	s.Protocols = &http.Protocols{}
 	s.Protocols.SetHTTP1(true)
 	s.Protocols.SetUnencryptedHTTP2(true) // as on the callers' port
-	go func() { _ = s.Serve(listener) }()
+	go func() { _ = s.Serve(watched) }()
 	b.Cleanup(func() { _ = s.Close() })
 	return listener.Addr().String()
 }
--- a/internal/runner/departed_caller_test.go
+++ b/internal/runner/departed_caller_test.go
@@ -288,8 +288,8 @@
 				for range abandonedCallers {
 					f.is.NoErr(f.send(listener.Addr().String(), method, "/probe").Close())
 				}
-				server := newTestServer(t, handler)
-				go func() { _ = server.Serve(listener) }()
+				server, watched := newTestServer(t, listener, handler)
+				go func() { _ = server.Serve(watched) }()
 				defer func() { _ = server.Close() }()
 				time.Sleep(settleTime)
 				f.is.Equal(f.arrived[pathProbe].Load(), before) // no call of a departed caller is sent
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -230,7 +230,7 @@
 		return
 	}
 	s.ErrorLog = newDebugLogger(m.log)
-	listener := m.acceptor.Wrap(m.listeners[address], name)
+	listener := m.acceptor.Wrap(m.detector.Wrap(m.listeners[address]), name)
 	listener.Protect(s)
 	group.Go(func() {
 		if err := s.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/runner/unread_body_test.go
+++ b/internal/runner/unread_body_test.go
@@ -95,8 +95,8 @@
 				f.is.NoErr(err)
 				f.is.NoErr(conn.Close())
 			}
-			server := newTestServer(t, f.near)
-			go func() { _ = server.Serve(listener) }()
+			server, watched := newTestServer(t, listener, f.near)
+			go func() { _ = server.Serve(watched) }()
 			defer func() { _ = server.Close() }()
 			time.Sleep(settleTime)
 			f.is.Equal(f.arrived[pathProbe].Load(), before) // no call of a departed caller is sent
--- a/internal/runner/unread_end_test.go
+++ b/internal/runner/unread_end_test.go
@@ -52,8 +52,8 @@
 		Leaving:  func() bool { return false },
 		Registry: registry,
 	})
-	server := newTestServer(t, handler)
-	listener := limited.Wrap(ahead.Wrap(raw), "callers")
+	server, watched := newTestServer(t, ahead.Wrap(raw), handler)
+	listener := limited.Wrap(watched, "callers")
 	ahead.Attach(server)
 	listener.Protect(server)
 	go func() { _ = server.Serve(listener) }()
