--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -48,14 +48,14 @@
 		play:  playStray,
 		fleet: strayFleet,
 	},
-	"escape": {
-		play:  playEscape,
-		fleet: escapeFleet,
-	},
 	"grace": {
 		play:  playGrace,
 		fleet: graceFleet,
 	},
+	"born": {
+		play:  playBorn,
+		fleet: bornFleet,
+	},
 }
 
 func main() {
--- a/review/standin3/stray.go
+++ b/review/standin3/stray.go
@@ -88,8 +88,8 @@
 func (s *system) countRuns(id string) int {
 	runs := 0
 	for _, m := range s.sidecars {
-		for _, ran := range m.target.seen() {
-			if ran == id {
+		for _, r := range m.target.seen() {
+			if r.id == id {
 				runs++
 			}
 		}
--- a/review/standin3/target.go
+++ b/review/standin3/target.go
@@ -20,8 +20,16 @@
 	heartbeatInterval = 1500 * time.Millisecond
 	checkInTimeout    = time.Second
 	targetSlots       = 14
+	stateReady        = "ready"
+	stateDraining     = "draining"
 )
 
+// targetRun is one request that a target has run.
+type targetRun struct {
+	id string
+	at time.Time
+}
+
 // reply is how a target treats a request.
 type reply struct {
 	// stray are bytes that the target sends before its answer and that belong to no request.
@@ -41,52 +49,85 @@
 	id, service, ip, zone string
 	record                *record
 
-	listener net.Listener
-	born     time.Time
-	cancel   context.CancelFunc
-
-	lock     sync.Mutex
-	work     time.Duration
-	behave   behaviour
+	lock   sync.Mutex
+	work   time.Duration
+	behave behaviour
+	born   time.Time
+	// clock is how far the time of day of the machine is off.
+	clock    time.Duration
 	sequence int
-	// runs holds the ids of the requests that the target has run.
-	runs []string
+	state    string
+	runs     []targetRun
+	cancel   context.CancelFunc
+	// ends counts the ends of the target. listener and conns are those of the current start.
+	ends     int
+	listener net.Listener
+	conns    []net.Conn
 }
 
 // startTarget starts a target, which checks in with its node from then on.
 func startTarget(id, service, ip, zone string, r *record) (*standInTarget, error) {
-	listener, err := net.Listen("tcp", address(ip, portTarget))
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &standInTarget{
-		id:       id,
-		service:  service,
-		ip:       ip,
-		zone:     zone,
-		record:   r,
-		listener: listener,
-		born:     time.Now(),
-		cancel:   cancel,
-		behave:   func(int, int) reply { return reply{} },
+		id:      id,
+		service: service,
+		ip:      ip,
+		zone:    zone,
+		record:  r,
+		behave:  func(int, int) reply { return reply{} },
+		state:   stateReady,
+		cancel:  cancel,
+	}
+	if err := t.start(); err != nil {
+		cancel()
+		return nil, err
 	}
-	go t.accept()
 	go t.checkInAlways(ctx)
 	return t, nil
 }
 
+// start begins a start of the target, which knows nothing of the one before.
+func (t *standInTarget) start() error {
+	listener, err := net.Listen("tcp", address(t.ip, portTarget))
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.listener = listener
+	t.sequence = 0
+	t.born = time.Now().Add(t.clock)
+	t.record.note("target %s starts, born %d", t.id, t.born.UnixMilli())
+	go t.accept(listener)
+	return nil
+}
+
+// end ends the current start of the target, with its connections.
+func (t *standInTarget) end() {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.ends++
+	_ = t.listener.Close()
+	for _, conn := range t.conns {
+		reset(conn)
+	}
+	t.conns = nil
+}
+
 func (t *standInTarget) stop() {
 	t.cancel()
-	_ = t.listener.Close()
+	t.end()
 }
 
-func (t *standInTarget) accept() {
+func (t *standInTarget) accept(listener net.Listener) {
 	for {
-		conn, err := t.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
+		t.lock.Lock()
+		t.conns = append(t.conns, conn)
+		t.lock.Unlock()
 		go t.serve(conn)
 	}
 }
@@ -143,12 +184,20 @@
 // run runs a request.
 func (t *standInTarget) run(id string) {
 	t.lock.Lock()
-	t.runs = append(t.runs, id)
-	work := t.work
+	t.runs = append(t.runs, targetRun{
+		id: id,
+		at: time.Now(),
+	})
+	work, ends := t.work, t.ends
 	t.lock.Unlock()
 	t.record.note("target %s: runs request %s", t.id, id)
 	time.Sleep(work)
-	t.record.note("target %s: request %s is done", t.id, id)
+	t.lock.Lock()
+	lost := t.ends != ends
+	t.lock.Unlock()
+	if !lost {
+		t.record.note("target %s: request %s is done", t.id, id)
+	}
 }
 
 // write writes a complete answer.
@@ -180,11 +229,11 @@
 	t.work = d
 }
 
-// seen returns the ids of the requests that the target has run.
-func (t *standInTarget) seen() []string {
+// seen returns the requests that the target has run.
+func (t *standInTarget) seen() []targetRun {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	return append([]string(nil), t.runs...)
+	return append([]targetRun(nil), t.runs...)
 }
 
 func (t *standInTarget) checkInAlways(ctx context.Context) {
@@ -204,7 +253,7 @@
 		"zone":              t.zone,
 		"version":           "v1",
 		"slots":             targetSlots,
-		"state":             "ready",
+		"state":             t.state,
 		"cold_remaining_ms": 0,
 		"sequence":          t.sequence,
 		"born":              t.born.UnixMilli(),
@@ -228,3 +277,21 @@
 	_ = response.Body.Close()
 	return response.StatusCode, nil
 }
+
+// drain reports that the target is draining, until that is acknowledged, and returns the
+// time of the acknowledgement.
+func (t *standInTarget) drain(ctx context.Context) (time.Time, error) {
+	t.lock.Lock()
+	t.state = stateDraining
+	t.lock.Unlock()
+	for ctx.Err() == nil {
+		t.record.note("target %s: checks in as draining", t.id)
+		status, err := t.checkIn(ctx)
+		if err == nil && status == http.StatusOK {
+			t.record.note("target %s: draining is acknowledged", t.id)
+			return time.Now(), nil
+		}
+		_ = pause(ctx, pollInterval)
+	}
+	return time.Time{}, ctx.Err()
+}
