review: legal bodies take a node over its memory (case 14)

A node buffers each request body of up to 64 KiB before it looks for a target, and nothing bounds these buffers together. 650 connections to a node, inside its own limit and that of the configuration, take it over the 184 MB of its machine.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -52,9 +52,9 @@
 		play:  playGrace,
 		fleet: graceFleet,
 	},
-	"born": {
-		play:  playBorn,
-		fleet: bornFleet,
+	"crowd": {
+		play:  playCrowd,
+		fleet: crowdFleet,
 	},
 }
 
--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -36,6 +36,8 @@
 	orderTimeout = 2 * time.Second
 	// linkRate is the rate of the machines' links in the small deployments, in Mbit/s.
 	linkRate = "1000.0"
+	// maxDescriptors is the lesser of the numbers of descriptors of the sheets' machines.
+	maxDescriptors = 4096
 )
 
 var zones = []string{"lima-norte", "lima-centro", "lima-sur"}
@@ -83,6 +85,8 @@
 		Folder:      folder,
 		Zones:       zones,
 		Environment: []string{"GOMAXPROCS=1"},
+
+		MaxDescriptors: maxDescriptors,
 	})
 	if err != nil {
 		return nil, err
