internal/replicator: count each founding replica once, by its name

Cause: the admission of a founding replica made the log's size larger, and founding is a flag of the process, which says nothing of whether it has been counted. A replica that was removed while it was frozen counted again when it came back. With a size of four for three replicas the replaced one was never removed, and a quorum was three of four.

Change: Membership.founding names the founding replicas that the size counts. A leader counts them when it first knows them; admission and removal leave the size as it is.

Why it works: a name counts once, and the list is part of what is replicated and compacted with the size, so that neither a removal, a restart nor a new leader forgets it.

--- a/internal/replicator/log.go
+++ b/internal/replicator/log.go
@@ -92,11 +92,7 @@
 	if at == r.snapshotIndex() {
 		return r.durable.Snapshot.GetMembership()
 	}
-	membership := &messenger.Membership{}
-	if err := proto.Unmarshal(r.entryAt(at).GetData(), membership); err != nil {
-		panic(err)
-	}
-	return membership
+	return decodeMembership(r.entryAt(at))
 }
 
 // membershipIndex returns the index of the entry or snapshot that has the
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -257,9 +257,9 @@
 }
 
 // changeMembership proposes at most one membership change, and none while the
-// last one is uncommitted. It removes a member whose disk has changed, or admits
-// a replica that has caught up, or removes an unresponsive member for which a
-// replacement was admitted.
+// last one is uncommitted. It counts new founding replicas, or removes a member whose
+// disk has changed, or admits a replica that has caught up, or removes an unresponsive
+// member for which a replacement was admitted.
 func (r *Replicator) changeMembership(now time.Time) {
 	if r.config.AdmitAnyDisk && len(r.members()) == len(r.config.Peers) {
 		return
@@ -267,13 +267,16 @@
 	if r.commit < r.membershipIndex(r.lastIndex()) || r.termAt(r.commit) != r.durable.Term {
 		return
 	}
+	if r.countFounding() {
+		return
+	}
 	for name, p := range r.progress {
 		disk, member := r.memberDisk(name)
 		if p.disk == "" || p.disk == disk {
 			continue
 		}
 		if member {
-			r.proposeMembers(withoutMember(r.members(), name), r.membership().GetSize())
+			r.proposeMembers(withoutMember(r.members(), name))
 			r.trackPeers(now)
 			return
 		}
@@ -300,20 +303,13 @@
 	return false
 }
 
-// admit proposes a replica as a member. A founding replica increases the size,
-// unless it takes the place of a member that was removed, such as itself with an
-// earlier disk.
+// admit proposes a replica as a member.
 func (r *Replicator) admit(name, disk string) {
-	peer := r.peers[name]
-	size := r.membership().GetSize()
-	if size > 0 && peer.Founding && len(r.members()) >= int(size) {
-		size++
-	}
 	r.proposeMembers(append(slices.Clone(r.members()), &messenger.Member{
 		Name:    name,
 		Disk:    disk,
-		Address: peer.Address,
-	}), size)
+		Address: r.peers[name].Address,
+	}))
 }
 
 // removeUnresponsive removes the member that has been unresponsive longest, and
@@ -341,7 +337,7 @@
 		}
 	}
 	if unresponsive != "" {
-		r.proposeMembers(withoutMember(membership.GetMembers(), unresponsive), membership.GetSize())
+		r.proposeMembers(withoutMember(membership.GetMembers(), unresponsive))
 		r.trackPeers(now)
 	}
 }
@@ -352,10 +348,17 @@
 	})
 }
 
-func (r *Replicator) proposeMembers(members []*messenger.Member, size uint32) {
-	entry := membershipEntry(r.lastIndex()+1, r.durable.Term, &messenger.Membership{
-		Members: members,
-		Size:    size,
+// proposeMembers proposes members, with the size of the latest membership.
+func (r *Replicator) proposeMembers(members []*messenger.Member) {
+	founding, _ := r.countedFounding()
+	r.proposeMembership(&messenger.Membership{
+		Members:  members,
+		Size:     r.membership().GetSize(),
+		Founding: founding,
 	})
+}
+
+func (r *Replicator) proposeMembership(membership *messenger.Membership) {
+	entry := membershipEntry(r.lastIndex()+1, r.durable.Term, membership)
 	r.truncateAndAppend([]*messenger.Entry{entry})
 }
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -168,10 +168,16 @@
 	slices.SortFunc(members, func(a, b *messenger.Member) int {
 		return strings.Compare(a.GetName(), b.GetName())
 	})
-	r.truncateAndAppend([]*messenger.Entry{membershipEntry(1, 1, &messenger.Membership{
+	membership := &messenger.Membership{
 		Members: members,
 		Size:    uint32(size),
-	})})
+	}
+	if size > 0 {
+		for _, m := range members {
+			membership.Founding = append(membership.Founding, m.GetName())
+		}
+	}
+	r.truncateAndAppend([]*messenger.Entry{membershipEntry(1, 1, membership)})
 	r.electionDeadline = now
 	return r.Tick(now), nil
 }
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -134,8 +134,8 @@
 	// distributed in another way.
 	Address string
 	// Founding reports whether the replica was present at the system's first
-	// start. Its admission increases the log's size by one. The admission of
-	// any other replica leaves the size unchanged, so that it can replace a
-	// member.
+	// start. The log's size counts each founding replica once, when a leader first
+	// knows it. Any other replica leaves the size unchanged, so that it can replace
+	// a member.
 	Founding bool
 }
