internal/replicator: remove a member that is gone if the quorum gets smaller

Operators saw: nothing.

Cause: a member without a replacement was never removed.

Change: the leader removes a member that has not replied for a minute, if the members are as many as the size and an even number.

Why it works: with an even number n of members a quorum is n/2+1, and n/2 without the lost one, so that the others go on after the loss of another disk. Both bear the loss of n/2-1 disks. With an odd number the disk may be needed, and the member stays.

Evidence: TestSizeAboveMembers fails without the rule: the log keeps the member, and commits nothing after the loss of a further disk.

--- a/cmd/fireflymoor/operate.go
+++ b/cmd/fireflymoor/operate.go
@@ -201,6 +201,9 @@
 		fmt.Fprintf(w, "replica\t%s (%s, term %d)\nleader\t%s\nquorum\t%t\nvotes\t%t\nvoters\t%s\nversion\t%d\n\n",
 			status.Replica, status.Role, status.Term, status.Leader, status.Quorum, status.Voter,
 			strings.Join(status.Members, " "), status.Number)
+		for _, m := range status.Unresponsive {
+			fmt.Fprintf(w, "unresponsive voter\t%s\n", m)
+		}
 		fmt.Fprintln(w, "ZONE\tNODES\tHOLDING\tLAGGING")
 		for _, z := range status.Zones {
 			fmt.Fprintf(w, "%s\t%d\t%d\t%s\n", z.Zone, z.Nodes, z.Holding, formatLaggards(z))
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -312,36 +312,66 @@
 	}))
 }
 
-// removeUnresponsive removes the member that has been unresponsive longest, and
-// for more than Config.ReplaceTimeout. It does so only if there are more members
-// than the log's size, because then a replacement has been admitted.
+// removeUnresponsive removes the member that has been unresponsive longest. It does so
+// after Config.ReplaceTimeout if there are more members than the log's size, because then
+// a replacement has been admitted. If there are as many, it does so after
+// Config.AbandonTimeout, but only if their number is even: the others then need one
+// replica less for a quorum, and bear the loss of as many disks as before. A size that is
+// too large would otherwise keep a member that is gone, and the greater quorum, for good.
 func (r *Replicator) removeUnresponsive(now time.Time) {
-	membership := r.membership()
-	if membership.GetSize() == 0 || len(membership.GetMembers()) <= int(membership.GetSize()) {
+	size, count := int(r.membership().GetSize()), len(r.members())
+	timeout := r.config.ReplaceTimeout
+	switch {
+	case size == 0 || count < size:
 		return
+	case count == size:
+		timeout = r.config.AbandonTimeout
+		if timeout == 0 || count%2 != 0 {
+			return
+		}
 	}
 	unresponsive := ""
-	longest := r.config.ReplaceTimeout
-	for _, m := range membership.GetMembers() {
-		p := r.progress[m.GetName()]
-		if p == nil || m.GetName() == r.config.Name {
-			continue
-		}
-		lastContact := p.trackedSince
-		if p.lastContact.After(lastContact) {
-			lastContact = p.lastContact
-		}
-		if now.Sub(lastContact) > longest {
+	longest := timeout
+	for _, m := range r.members() {
+		if silence := r.silence(m.GetName(), now); silence > longest {
 			unresponsive = m.GetName()
-			longest = now.Sub(lastContact)
+			longest = silence
 		}
 	}
 	if unresponsive != "" {
-		r.proposeMembers(withoutMember(membership.GetMembers(), unresponsive))
+		r.proposeMembers(withoutMember(r.members(), unresponsive))
 		r.trackPeers(now)
 	}
 }
 
+// silence returns for how long this replica, as the leader, has not received a reply from
+// a member. It is zero for this replica itself.
+func (r *Replicator) silence(name string, now time.Time) time.Duration {
+	p := r.progress[name]
+	if p == nil || name == r.config.Name {
+		return 0
+	}
+	if p.lastContact.After(p.trackedSince) {
+		return now.Sub(p.lastContact)
+	}
+	return now.Sub(p.trackedSince)
+}
+
+// unresponsive returns the members that have not replied to this replica, as the leader,
+// for Config.ReplaceTimeout.
+func (r *Replicator) unresponsive(now time.Time) []string {
+	if r.role != Leader {
+		return nil
+	}
+	var names []string
+	for _, m := range r.members() {
+		if r.silence(m.GetName(), now) > r.config.ReplaceTimeout {
+			names = append(names, m.GetName())
+		}
+	}
+	return names
+}
+
 func withoutMember(members []*messenger.Member, name string) []*messenger.Member {
 	return slices.DeleteFunc(slices.Clone(members), func(m *messenger.Member) bool {
 		return m.GetName() == name
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -195,10 +195,13 @@
 		Commit:  r.commit,
 		Last:    r.lastIndex(),
 		Members: r.members(),
+		Size:    int(r.membership().GetSize()),
 		Voter:   r.countsInQuorum(r.config.Name, r.config.Disk),
 		Quorum:  quorum,
 
 		Suspended: r.suspended,
+
+		Unresponsive: r.unresponsive(now),
 	}
 }
 
--- a/internal/replicator/size_test.go
+++ b/internal/replicator/size_test.go
@@ -353,3 +353,32 @@
 		})
 	}
 }
+
+// TestSizeAboveMembers guards against a quorum that stays too large in a log whose size
+// an earlier build made larger than the number of replicas: the member that is gone must
+// be removed, so that the log bears the loss of another disk. An odd number of members
+// must keep it, as its disk still counts.
+func TestSizeAboveMembers(t *testing.T) {
+	for _, size := range []int{4, 5} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(30) {
+				c := newBlankCluster(t, seed, size, false)
+				c.bootstrapWithSize("a", size, c.names...)
+				c.waitForAllMembers()
+				c.kill(c.replicas["b"])
+				c.updatePeers(nil)
+				for _, m := range c.replicas {
+					m.config.AbandonTimeout = 5 * testReplace
+				}
+				c.run(int(4 * testReplace / testStep))
+				is.True(c.isMember("b"))
+				c.run(int(6 * testReplace / testStep))
+				is.Equal(c.isMember("b"), size%2 != 0)
+				c.replaceDisk("a")
+				c.updatePeers(nil)
+				c.commit("after the loss")
+			}
+		})
+	}
+}
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -40,6 +40,10 @@
 	// ReplaceTimeout is how long a member may be unresponsive before it is
 	// removed in favour of the replica that was admitted to replace it.
 	ReplaceTimeout time.Duration
+	// AbandonTimeout is how long a member may be unresponsive before it is removed
+	// without a replacement, if the quorum gets smaller by that. Zero means that it
+	// is never removed.
+	AbandonTimeout time.Duration
 	// AdmitAnyDisk lets a replica with a new disk vote under its old name
 	// without being readmitted. This is unsafe. It exists so that a test can
 	// show that an acknowledged change is then lost.
@@ -115,6 +119,12 @@
 	Last uint64
 	// Members are the voting members.
 	Members []*messenger.Member
+	// Size is the number of members while no replacement is in progress, or zero if
+	// members are not replaced.
+	Size int
+	// Unresponsive are the names of the members that have not replied to this replica,
+	// as the leader, for the replacement timeout.
+	Unresponsive []string
 	// Voter reports whether this replica's disk counts in a quorum.
 	Voter bool
 	// Quorum reports whether there was contact with a quorum within the
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -40,6 +40,10 @@
 	// spare replica replaces it. It is longer than an election, and leaves time
 	// for the replacement within the 4 s that a new replica may take.
 	replaceTimeout = 2 * time.Second
+	// abandonTimeout is how long a member of the log may be unresponsive before it is
+	// removed without a replacement, if the quorum gets smaller by that. It is longer
+	// than a restart of the machine.
+	abandonTimeout = time.Minute
 	// peerRefreshInterval is how often the replicas' addresses are refreshed, in
 	// addition to the refresh on each membership change.
 	peerRefreshInterval = time.Second
@@ -55,6 +59,7 @@
 	transport  *replica.Transport
 	controller *controller.Controller
 	reports    map[string]receivedReport
+	logMetrics *logMetrics
 	promoter   *promoter.Promoter
 
 	admitLock sync.Mutex
@@ -110,6 +115,7 @@
 			Heartbeat:          c.settings.Heartbeat,
 			MinElectionTimeout: c.settings.ElectionTimeout,
 			ReplaceTimeout:     replaceTimeout,
+			AbandonTimeout:     abandonTimeout,
 		},
 		Persister: c.persister,
 		Transport: c.transport,
@@ -125,6 +131,7 @@
 	if err != nil {
 		return err
 	}
+	c.logMetrics = newLogMetrics(c.registry)
 	c.promoter = promoter.New(promoter.NewMetrics(c.registry), c.log)
 	c.transport.SetPeers(c.settings.Replicas)
 	c.initCoordinator(&messenger.Fact{
@@ -193,7 +200,7 @@
 	c.serve(group, c.platform, "platform", c.settings.Platform)
 	group.Go(func() { c.controller.Run(workCtx) })
 	group.Go(func() { c.transport.Run(workCtx) })
-	group.Go(func() { c.sequencer.Every(workCtx, peerRefreshInterval, c.refreshPeers) })
+	group.Go(func() { c.sequencer.Every(workCtx, peerRefreshInterval, c.refreshLog) })
 	group.Go(func() { c.bootstrapLog(workCtx) })
 	group.Go(func() { c.sequencer.Every(workCtx, promoteInterval, func() { c.promote(workCtx) }) })
 	c.log.Info().Str("zone", c.settings.Zone).Str("disk", c.persister.Disk()).Msg("process: control replica started")
--- a/internal/runner/operator_replica.go
+++ b/internal/runner/operator_replica.go
@@ -113,6 +113,8 @@
 	status.Leader = log.Leader
 	status.Voter = log.Voter
 	status.Quorum = log.Quorum
+	status.Size = log.Size
+	status.Unresponsive = log.Unresponsive
 	status.Number = manifest.Number()
 	status.Hash = hex.EncodeToString(hash[:])
 	for _, m := range log.Members {
--- a/pkg/administrator/messages.go
+++ b/pkg/administrator/messages.go
@@ -121,6 +121,11 @@
 	Zones []Zone `json:"zones"`
 	// Members are the voters of the replicated log.
 	Members []string `json:"members"`
+	// Size is the number of voters while none is being replaced. It is 0 if voters are
+	// not replaced.
+	Size int `json:"size,omitempty"`
+	// Unresponsive are the voters that do not reply to this replica, if it leads.
+	Unresponsive []string `json:"unresponsive,omitempty"`
 	// Suspects are the names of the nodes suspected to have failed.
 	Suspects []string `json:"suspects,omitempty"`
 }
