internal/runner: let requests end before a leaving node does

Callers saw: a node that was asked to end closed the connection of a request 5.7 s after SIGTERM, without an answer, while its target was at work and its time was not over.

Cause: grace and shutdown in deploy/node.ini were fixed times, whose sum fits a platform that sends SIGKILL after 6 s. The time that the platform states was not read.

A new setting, kill-delay, or the bounds that the platform states, which its adapter reads, say when SIGKILL comes. Calls that are still in flight 250 ms before get 504 or 503, which say whether they may have run. A reload changes these times.

Why it works: each call has an end of its own, its route's timeout or its caller's time, so that waiting for it ends; and what is cut by SIGKILL is not gained by cutting it before.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -97,6 +97,9 @@
 	// used, which they may not in a process that was suspended. If it is nil, they
 	// always may.
 	IsCurrent func() bool
+	// Ending ends when the process is about to end and concludes the calls in flight. It
+	// may be nil.
+	Ending context.Context
 	// Shaper shares the link between bulk responses and other traffic, or is nil.
 	Shaper *shaper.Shaper
 	// Quarantine holds the requests under which targets have ended. It may be nil.
@@ -206,6 +209,8 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), timeout)
 	defer cancel()
+	ctx, stop := h.untilEnding(ctx)
+	defer stop()
 	service, _ := a.view.Configuration().Service(route.Choose(rand.Float64()))
 	callBody := newBody(request.Body, request.ContentLength, route.MaxBody)
 	if request.Header.Get("Expect") == "" {
--- a/internal/caller/departure.go
+++ b/internal/caller/departure.go
@@ -23,7 +23,7 @@
 	switch {
 	case errors.Is(reason, fireflymoor.ErrCallerLeft):
 		stage = stageUnsent
-	case !errors.Is(ctx.Err(), context.Canceled):
+	case !errors.Is(ctx.Err(), context.Canceled) || isConcluded(ctx):
 		return
 	}
 	h.options.Metrics.departed.WithLabelValues(stage).Inc()
--- a/internal/caller/idempotency.go
+++ b/internal/caller/idempotency.go
@@ -54,6 +54,8 @@
 	deadline, _ := ctx.Deadline()
 	ctx, cancel := context.WithDeadline(detector.Detach(context.WithoutCancel(ctx)), deadline)
 	defer cancel()
+	ctx, stop := h.untilEnding(ctx)
+	defer stop()
 	c.request = c.request.WithContext(ctx)
 	scopedKey := c.view.Configuration().Team() + "\x00" + c.service.Name + "\x00" + key
 	if tenant := c.identity.tenant.Name; tenant != "" {
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -42,7 +42,7 @@
 // canceledEarly reports whether the caller canceled the call before its objective had
 // passed.
 func (c *call) canceledEarly(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled) && time.Since(c.start) < c.route.Objective+cancelGrace
+	return errors.Is(ctx.Err(), context.Canceled) && !isConcluded(ctx) && time.Since(c.start) < c.route.Objective+cancelGrace
 }
 
 // recordRefusal records the load that a refusal reported, and the target that it
@@ -117,6 +117,8 @@
 		return "the body is too large"
 	case c.body.failed():
 		return "the body cannot be read"
+	case isConcluded(ctx):
+		return errEnding.Error()
 	case ctx.Err() != nil:
 		return "the time for the call has passed"
 	}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -100,6 +100,10 @@
 	// Shutdown is the maximum time to wait for in-flight calls when the process
 	// ends.
 	Shutdown time.Duration
+	// KillDelay is the time from SIGTERM to SIGKILL, or 0 if it is not known.
+	KillDelay time.Duration
+	// Adapter are settings that only the adapter of the process reads, by their keys.
+	Adapter map[string]string
 	// Heartbeat is the heartbeat interval of the replicated log.
 	Heartbeat time.Duration
 	// ElectionTimeout is the minimum time without a leader before an election.
@@ -132,10 +136,12 @@
 
 // Defaults and bounds of the settings.
 const (
-	defaultLease           = 1500 * time.Millisecond
-	defaultKeyWindow       = time.Minute
-	defaultGrace           = time.Second
-	defaultShutdown        = 30 * time.Second
+	defaultLease     = 1500 * time.Millisecond
+	defaultKeyWindow = time.Minute
+	defaultGrace     = time.Second
+	// defaultShutdown is the longest timeout of a route, so that no call is cut off
+	// before its own end.
+	defaultShutdown        = parser.MaxTimeout
 	defaultHeartbeat       = 100 * time.Millisecond
 	defaultElectionTimeout = 600 * time.Millisecond
 	maxPort                = 65535
@@ -179,6 +185,7 @@
 		Level:           zerolog.InfoLevel,
 		Decisions:       true,
 		Tokens:          map[string]string{},
+		Adapter:         map[string]string{},
 	}
 	for _, section := range d.Sections() {
 		s.read(section)
@@ -227,6 +234,10 @@
 		s.HeadMemory = int64(section.Int("head-memory", acceptor.MinHeadMemory, acceptor.MinHeadMemory, maxHeadMemory))
 	case "log":
 		s.readLog(section)
+	case "adapter":
+		for _, key := range section.Keys() {
+			s.Adapter[key] = section.String(key, "")
+		}
 	default:
 		section.Fault("", "unknown section")
 	}
@@ -263,7 +274,8 @@
 	s.DataFolder = section.String("data-folder", "")
 	s.CountViolations = section.Bool("count-violations", false)
 	s.Grace = section.Duration("grace", defaultGrace, 0, maxDuration)
-	s.Shutdown = section.Duration("shutdown", defaultShutdown, minDuration, maxDuration)
+	s.Shutdown = section.Duration("shutdown", defaultShutdown, minDuration, parser.MaxTimeout)
+	s.KillDelay = section.Duration("kill-delay", 0, time.Second, parser.MaxTimeout)
 	checkName(section, "name", s.Name)
 	checkName(section, "zone", s.Zone)
 	checkName(section, "team", s.Team)
--- a/internal/runner/adapter.go
+++ b/internal/runner/adapter.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -15,6 +16,9 @@
 // An Adapter implements the HTTP protocol of the platform that a process runs
 // on. It replaces the system's default protocol.
 type Adapter interface {
+	// KillDelay returns the time from SIGTERM to SIGKILL that the platform has stated in
+	// the settings of a process, or 0 if it has not.
+	KillDelay(settings loader.Settings) time.Duration
 	// Dialect returns the encoding of call metadata in HTTP headers.
 	Dialect() fireflymoor.Dialect
 	// Ready returns the handler of readiness checks. unreadyReason returns why
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -186,7 +186,7 @@
 func (c *control) Run(ctx context.Context) error {
 	defer c.close()
 	c.run(ctx, c.mux(), c.start, func() {
-		ctx, cancel := context.WithTimeout(context.Background(), c.settings.Shutdown)
+		ctx, cancel := context.WithTimeout(context.Background(), c.stopTimes().closing)
 		defer cancel()
 		c.shutdown(ctx, c.operators, c.platform)
 	})
--- a/internal/runner/member.go
+++ b/internal/runner/member.go
@@ -239,21 +239,6 @@
 	})
 }
 
-// shutdown shuts down the servers one after the other and waits for their
-// requests in flight. It closes the connections of a server that is not done when ctx
-// ends, after the shutdown timeout of the settings, which all servers share.
-func (m *member) shutdown(ctx context.Context, servers ...*http.Server) {
-	for _, s := range servers {
-		if s == nil {
-			continue
-		}
-		if err := s.Shutdown(ctx); err != nil {
-			m.log.Warn().Err(err).Msg("process: requests in flight aborted at shutdown")
-			_ = s.Close()
-		}
-	}
-}
-
 // run runs the process until ctx ends. start starts the parts of the process's
 // role, which run until workCtx ends. leave is called after ctx has ended and
 // before workCtx is canceled. The sequencer stops last, because the other parts
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -98,6 +98,9 @@
 	// storedAt is when the oldest version that is not in force yet was stored.
 	storedAt time.Time
 	leaving  atomic.Bool
+	// ending ends when the calls in flight must be concluded, by conclude.
+	ending   context.Context
+	conclude context.CancelFunc
 	// evidence sums up this node's calls to services under roll-out. If the node is
 	// its zone's reporter, relay sums up the calls of the zone's nodes, and
 	// relayFilter, which is accessed only on the sequencer, drops repeated messages.
@@ -143,6 +146,7 @@
 		relayFilter: collector.NewFilter(),
 		vetter:      vetter.New(time.Now()),
 	}
+	n.ending, n.conclude = context.WithCancel(context.Background())
 	n.limits = newLimits(m, n.rateLimitedLog())
 	n.remote = forwarder.NewRemote(m.dialer, n.packer, sender.WithBudget(m.heads))
 	n.verifier = verifier.New(n.newestVersion, func() time.Duration {
@@ -196,6 +200,7 @@
 		Shaper:       bulk,
 		Quarantine:   n.quarantine,
 		Evidence:     n.evidence,
+		Ending:       n.ending,
 		IsCurrent:    func() bool { return n.activity.isCurrent(time.Now()) },
 		Metrics:      caller.NewMetrics(n.registry),
 		Log:          n.rateLimitedLog(),
@@ -310,18 +315,22 @@
 	n.log.Info().Str("zone", n.settings.Zone).Str("team", n.settings.Team).Msg("process: node started")
 }
 
-// leave shuts down the node without aborting calls that end within the shutdown
-// timeout. During the grace period its callers are notified to connect
+// leave shuts down the node without aborting calls that end before the process is killed.
+// During the grace period its callers are notified to connect
 // elsewhere. Its targets still serve calls in this period, because the targets
 // may outlive this process. Then new calls are refused as not run, and the calls
 // in flight are finished.
 func (n *node) leave() {
-	n.log.Info().Dur("grace", n.settings.Grace).Msg("process: node is leaving")
+	began := time.Now()
+	times := n.stopTimes()
+	n.log.Info().Dur("grace", times.grace).Dur("conclude", times.conclude).Msg("process: node is leaving")
 	n.leaving.Store(true)
-	time.Sleep(n.settings.Grace)
+	time.Sleep(times.grace)
 	n.targets.DrainAll()
 	time.Sleep(drainNoticeDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown)
+	concluding := time.AfterFunc(times.conclude-time.Since(began), n.conclude)
+	defer concluding.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(times.closing))
 	defer cancel()
 	n.pipeliner.Drain(ctx)
 	n.shutdown(ctx, n.callers, n.calls, n.platform, n.ready, n.announcements)
--- a/internal/runner/reload.go
+++ b/internal/runner/reload.go
@@ -8,8 +8,8 @@
 	"github.com/fireflymoor/fireflymoor/internal/loader"
 )
 
-// Reload implements fireflymoor.Reloader. Changed seeds take effect at once,
-// all other settings at the next start.
+// Reload implements fireflymoor.Reloader. Changed seeds take effect at once, changed times
+// of a process that ends when it ends, and all other settings at the next start.
 func (m *member) Reload(path string) error {
 	settings, err := loader.Load(path)
 	if err != nil {
@@ -19,6 +19,10 @@
 	m.sequencer.Post(func() {
 		changed := !slices.Equal(m.settings.SeedAddresses, settings.SeedAddresses)
 		m.settings.SeedAddresses = settings.SeedAddresses
+		m.settings.Grace = settings.Grace
+		m.settings.Shutdown = settings.Shutdown
+		m.settings.KillDelay = settings.KillDelay
+		m.settings.Adapter = settings.Adapter
 		m.coordinator.SetSeeds(m.settings.Seeds())
 		m.log.Info().Bool("seeds-changed", changed).Strs("seeds", m.settings.Seeds()).Msg("process: settings read again")
 	})
