platform: check a configuration on its own values, and that it is kept as sent

A part named huvo11a:5,huvo11a was acknowledged as two parts.

Cause: the adapter writes a configuration as text. Names that hold the text's separators change their meaning there, and an empty one was skipped by the parser's check of references, which was another rule than the nodes' own.

The replica that is asked converts the rendered form back and refuses what is not the configuration that was sent. fireflymoor.OpenReferences is the one check of references.

Why it works: what the text makes of a value is compared with the value itself, whatever the characters are.

--- a/configuration.go
+++ b/configuration.go
@@ -302,14 +302,37 @@
 		path[len(r.PathPrefix)] == '/'
 }
 
-// Closed reports whether every route leads to a service of the configuration.
+// Closed reports whether every route leads to services of the configuration.
 func (c Configuration) Closed() bool {
-	for i := range c.routes {
-		for _, name := range c.routes[i].Services() {
-			if _, ok := c.Service(name); !ok {
-				return false
+	return len(OpenReferences(c.services, c.routes)) == 0
+}
+
+// An OpenReference is the name of a service that a route leads to and that does not exist.
+type OpenReference struct {
+	// Route is the name of the route.
+	Route string
+	// Service is the name of the missing service. It is empty if the route names none.
+	Service string
+}
+
+// OpenReferences returns the references of routes to services that are not among the given
+// ones. All checks of a configuration use it, so that what one of them accepts no other
+// refuses.
+func OpenReferences(services []Service, routes []Route) []OpenReference {
+	known := make(map[string]bool, len(services))
+	for i := range services {
+		known[services[i].Name] = services[i].Name != ""
+	}
+	var open []OpenReference
+	for i := range routes {
+		for _, name := range routes[i].Services() {
+			if !known[name] {
+				open = append(open, OpenReference{
+					Route:   routes[i].Name,
+					Service: name,
+				})
 			}
 		}
 	}
-	return true
+	return open
 }
--- a/internal/operator/labelled.go
+++ b/internal/operator/labelled.go
@@ -31,6 +31,9 @@
 	ParentLabel uint64
 	// Inputs are the template and the values.
 	Inputs fireflymoor.Inputs
+	// Verify returns an error if the rendered form is not what the operator has sent. It
+	// may be nil.
+	Verify func(fireflymoor.Configuration) error
 	// Private is a text that only the control replicas keep with the configuration,
 	// such as secrets that the operator reads back.
 	Private string
@@ -44,6 +47,11 @@
 	if err != nil {
 		return administrator.ChangeResponse{}, renderError(err)
 	}
+	if labelled.Verify != nil {
+		if err := labelled.Verify(rendered.Configuration); err != nil {
+			return administrator.ChangeResponse{}, invalidError("accept", err.Error())
+		}
+	}
 	change := labelled.toMessage(fireflymoor.HashOf(rendered.Text))
 	if err := s.packTemplate(ctx, change); err != nil {
 		return administrator.ChangeResponse{}, err
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -193,7 +193,7 @@
 	for _, word := range s.Words("split", nil) {
 		name, text, ok := strings.Cut(word, ":")
 		weight, err := strconv.ParseFloat(text, 64)
-		if !ok || err != nil || !(weight >= 0) || math.IsInf(weight, 0) {
+		if !ok || name == "" || err != nil || !(weight >= 0) || math.IsInf(weight, 0) {
 			s.Fault("split", fmt.Sprintf("%q is not SERVICE:WEIGHT with a weight of 0 or more", word))
 			return split
 		}
@@ -203,8 +203,8 @@
 			Weight:  weight,
 		})
 	}
-	if len(split) > 0 && total <= 0 {
-		s.Fault("split", "the weights add up to 0")
+	if len(split) > 0 && (total <= 0 || math.IsInf(total, 0)) {
+		s.Fault("split", fmt.Sprintf("the weights add up to %g", total))
 	}
 	return split
 }
@@ -234,19 +234,17 @@
 // checkReferences notes a fault for each route that leads to an unknown service or
 // matches the same calls as another one, and for each key that several tenants have.
 func (c content) checkReferences(d *Document) {
-	services := map[string]bool{}
-	for i := range c.services {
-		services[c.services[i].Name] = true
+	for _, open := range fireflymoor.OpenReferences(c.services, c.routes) {
+		reason := "no service " + open.Service + " in this configuration"
+		if open.Service == "" {
+			reason = "leads to a service without a name"
+		}
+		d.Fault("route "+open.Route, "service", reason)
 	}
 	matches := map[string]string{}
 	for i := range c.routes {
 		r := c.routes[i]
 		section := "route " + r.Name
-		for _, name := range r.Services() {
-			if name != "" && !services[name] {
-				d.Fault(section, "service", "no service "+name+" in this configuration")
-			}
-		}
 		match := strings.ToLower(r.Host) + r.PathPrefix
 		if other, ok := matches[match]; ok {
 			d.Fault(section, "", "matches the same calls as route "+other)
