internal/applier: refuse a version with an open reference and go on

Cause: that the routes of a version are closed was an invariant of the nodes, whose violation ends the process, although it depends on a version that another process has checked.

Evidence: applier.TestOpenVersionIsRefused failed before in all six cases, with the violated invariant routes-closed.

Change: a node refuses such a version like one that does not render. The version before stays in force. The log line, the status and fireflymoor_refused_version tell operators.

Why it works: no content of a version reaches an invariant of the applier any more, and a refusal leaves everything as it is, so that a further version takes the same way.

--- a/configuration.go
+++ b/configuration.go
@@ -304,7 +304,13 @@
 
 // Closed reports whether every route leads to services of the configuration.
 func (c Configuration) Closed() bool {
-	return len(OpenReferences(c.services, c.routes)) == 0
+	return len(c.OpenReferences()) == 0
+}
+
+// OpenReferences returns the references of the routes to services that the configuration
+// does not have.
+func (c Configuration) OpenReferences() []OpenReference {
+	return OpenReferences(c.services, c.routes)
 }
 
 // An OpenReference is the name of a service that a route leads to and that does not exist.
--- a/internal/applier/applier.go
+++ b/internal/applier/applier.go
@@ -12,6 +12,9 @@
 var (
 	errNoFloor  = errors.New("no quorum has yet confirmed how new a version must be")
 	errMismatch = errors.New("the rendered form differs from the accepted one")
+	// errOpenReference is no violated invariant: the version may come from a replica of
+	// another build, with other checks.
+	errOpenReference = errors.New("a route leads to a service that is not in the configuration")
 	// errNotRendered stays the result of a preparation whose rendering has panicked.
 	errNotRendered = errors.New("the version was not rendered")
 )
@@ -131,7 +134,6 @@
 		a.refusal = errNoFloor
 		return false
 	}
-	a.asserter.Check(p.next.Closed(), "routes-closed", a.team)
 	a.asserter.Check(p.next.Number() > a.Number(), "never-older", a.team)
 	a.current = p.next
 	a.entry = p.nextEntry
@@ -163,5 +165,9 @@
 	if fireflymoor.HashOf(rendered.Text) != entry.Rendered {
 		return fireflymoor.Configuration{}, entry, errors.Wrapf(errMismatch, "applier: version %d", number)
 	}
+	for _, open := range rendered.Configuration.OpenReferences() {
+		return fireflymoor.Configuration{}, entry, errors.Wrapf(errOpenReference, "applier: version %d, route %s, service %q",
+			number, open.Route, open.Service)
+	}
 	return rendered.Configuration.WithNumber(number).WithRollouts(rollouts), entry, nil
 }
--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -1,8 +1,10 @@
 package applier
 
 import (
+	"fmt"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/fireflymoor/fireflymoor"
@@ -68,3 +70,59 @@
 	is.True(a.Apply(newVersion(4, "6")))
 	is.NoErr(a.Refusal())
 }
+
+// openRenderer renders a configuration whose route leads to a service that it has not, as
+// a build with other checks may accept it.
+type openRenderer struct {
+	fireflymoor.Renderer
+	services []string
+}
+
+// Render implements fireflymoor.Renderer.
+func (r *openRenderer) Render(team string, inputs fireflymoor.Inputs) (fireflymoor.Rendered, error) {
+	rendered, err := r.Renderer.Render(team, inputs)
+	if err != nil || len(r.services) == 0 {
+		return rendered, err
+	}
+	route := fireflymoor.Route{
+		Name: "r",
+	}
+	for _, name := range r.services {
+		route.Split = append(route.Split, fireflymoor.Share{
+			Service: name,
+			Weight:  1,
+		})
+	}
+	rendered.Configuration = fireflymoor.NewConfiguration(team, rendered.Configuration.Services(), []fireflymoor.Route{route}, fireflymoor.Limits{})
+	return rendered, nil
+}
+
+// TestOpenVersionIsRefused guards against nodes that end, again after each start, when a
+// version with an open reference was accepted. The version in force must stay, if there is
+// one, and a further version must be put in force.
+func TestOpenVersionIsRefused(t *testing.T) {
+	for _, services := range [][]string{{""}, {"a", ""}, {"a", "b"}} {
+		for _, started := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%q, version in force %t", services, started), func(t *testing.T) {
+				is := is.New(t)
+				r := &openRenderer{Renderer: renderer.New(parser.New())}
+				a := New("team", r, failingAsserter{TB: t})
+				a.Confirm(0)
+				before := uint64(0)
+				if started {
+					is.True(a.Apply(newVersion(1, "3")))
+					before = 1
+				}
+				r.services = services
+				is.True(!a.Apply(newVersion(2, "4")))
+				is.True(errors.Is(a.Refusal(), errOpenReference))
+				is.Equal(a.Number(), before)
+				r.services = nil
+				is.True(a.Apply(newVersion(3, "5")))
+				is.NoErr(a.Refusal())
+				service, _ := a.Current().Service("a")
+				is.Equal(service.Slots, 5)
+			})
+		}
+	}
+}
--- a/internal/runner/apply.go
+++ b/internal/runner/apply.go
@@ -80,6 +80,7 @@
 	n.view.Store(&view)
 	n.targets.Configure(current)
 	n.limits.configure(current)
+	n.refusedVersion.Set(0)
 	n.log.Info().Uint64("version", current.Number()).Dur("waited", began.Sub(n.storedAt)).
 		Dur("took", time.Since(began)).Msg("config: in force")
 }
@@ -87,6 +88,7 @@
 // logRefusal logs why the newest stored version was not put in force, if it was refused.
 func (n *node) logRefusal() {
 	if err := n.applier.Refusal(); err != nil {
+		n.refusedVersion.Set(float64(n.coordinator.Distributor().Manifest().Number()))
 		n.log.Warn().Err(err).Uint64("version", n.coordinator.Distributor().Manifest().Number()).Msg("config: kept the version before")
 	}
 }
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -89,6 +89,8 @@
 	view        atomic.Pointer[fireflymoor.View]
 	viewPending bool
 	lastRebuild time.Time
+	// refusedVersion is the number of a version that could not be put in force.
+	refusedVersion prometheus.Gauge
 	// throttle and the fields up to storedAt are accessed only on the sequencer.
 	throttle     applier.Throttle
 	applyPending bool
@@ -161,7 +163,11 @@
 		Team:        settings.Team,
 		CallAddress: settings.AdvertisedCalls,
 	}, n)
-	n.registry.MustRegister(n.targets, n.tracker, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	n.refusedVersion = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "fireflymoor_refused_version",
+		Help: "Number of the newest version if it cannot be put in force here, or 0.",
+	})
+	n.registry.MustRegister(n.refusedVersion, n.targets, n.tracker, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "fireflymoor_quarantined_requests",
 		Help: "Requests that are refused or on trial because targets have ended under them.",
 	}, func() float64 { return float64(n.quarantine.Held(time.Now())) }))
