--- a/internal/replicator/size.go
+++ b/internal/replicator/size.go
@@ -14,31 +14,40 @@
 // founding while it runs, also after it was removed or replaced.
 func (r *Replicator) countFounding() bool {
 	membership := r.membership()
-	if membership.GetSize() == 0 {
+	if membership.GetSize() == 0 || !r.hasFoundingPeer() {
 		return false
 	}
 	counted, ok := r.countedFounding()
 	if !ok {
 		return false
 	}
-	founding := slices.Clone(counted)
-	for _, name := range slices.Sorted(maps.Keys(r.peers)) {
-		if r.peers[name].Founding && !slices.Contains(counted, name) {
-			founding = append(founding, name)
+	var added []string
+	for name, peer := range r.peers {
+		if peer.Founding && !slices.Contains(counted, name) {
+			added = append(added, name)
 		}
 	}
-	added := len(founding) - len(counted)
-	if added == 0 {
+	if len(added) == 0 {
 		return false
 	}
+	slices.Sort(added)
 	r.proposeMembership(&messenger.Membership{
 		Members:  membership.GetMembers(),
-		Size:     membership.GetSize() + uint32(added),
-		Founding: founding,
+		Size:     membership.GetSize() + uint32(len(added)),
+		Founding: slices.Concat(counted, added),
 	})
 	return true
 }
 
+func (r *Replicator) hasFoundingPeer() bool {
+	for _, peer := range r.peers {
+		if peer.Founding {
+			return true
+		}
+	}
+	return false
+}
+
 // countedFounding returns the names of the replicas that the size counts. If a build that
 // does not know the field has written the latest membership, all that have been members
 // since the last one with the field, or since the start of the log, are taken for counted.
