--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -322,10 +322,9 @@
 }
 
 // leave shuts down the node without aborting calls that end before the process is killed.
-// During the grace period its callers are notified to connect
-// elsewhere. Its targets still serve calls in this period, because the targets
-// may outlive this process. Then new calls are refused as not run, and the calls
-// in flight are finished.
+// During the grace period its callers are notified to connect elsewhere. Its targets still
+// serve calls in this period, because the targets may outlive this process. Then new calls
+// are refused as not run, and the calls in flight are finished.
 func (n *node) leave() {
 	began := time.Now()
 	times := n.stopTimes()
