--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -97,8 +97,8 @@
 	// used, which they may not in a process that was suspended. If it is nil, they
 	// always may.
 	IsCurrent func() bool
-	// Ending ends when the process is about to end and concludes the calls in flight. It
-	// may be nil.
+	// Ending is canceled when the process is about to end, to conclude the calls in
+	// flight. It may be nil.
 	Ending context.Context
 	// Shaper shares the link between bulk responses and other traffic, or is nil.
 	Shaper *shaper.Shaper
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -41,8 +41,7 @@
 	// for the replacement within the 4 s that a new replica may take.
 	replaceTimeout = 2 * time.Second
 	// abandonTimeout is how long a member of the log may be unresponsive before it is
-	// removed without a replacement, if the quorum gets smaller by that. It is longer
-	// than a restart of the machine.
+	// removed without a replacement, if the quorum gets smaller by that.
 	abandonTimeout = time.Minute
 	// peerRefreshInterval is how often the replicas' addresses are refreshed, in
 	// addition to the refresh on each membership change.
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -100,7 +100,7 @@
 	// storedAt is when the oldest version that is not in force yet was stored.
 	storedAt time.Time
 	leaving  atomic.Bool
-	// ending ends when the calls in flight must be concluded, by conclude.
+	// ending is canceled, by conclude, when the calls in flight must be concluded.
 	ending   context.Context
 	conclude context.CancelFunc
 	// evidence sums up this node's calls to services under roll-out. If the node is
