--- a/internal/replicator/size_test.go
+++ b/internal/replicator/size_test.go
@@ -92,11 +92,7 @@
 
 // add starts a replica in the place of another one.
 func (s *sizedCluster) add(name string) {
-	m := &testReplica{name: name}
-	s.replicas[name] = m
-	s.newDisk(m)
-	s.start(m)
-	s.names = append(s.names, name)
+	s.addReplica(name)
 	s.current = append(s.current, name)
 	s.updatePeers()
 }
